--- a/citronlever/src/Registry/StoreFeed.h
+++ b/citronlever/src/Registry/StoreFeed.h
@@ -16,8 +16,9 @@
 struct StoreFeedSettings {
   /// Keys followed.
   std::string Prefix;
-  /// Longest wait of one watch.
-  Duration WatchWait = Seconds(5);
+  /// Longest wait of one watch. Leaves' heartbeats are changes, so a watch that
+  /// hears nothing for longer has most likely lost its connection.
+  Duration WatchWait = Milliseconds(1000);
   /// Pause after each watch, so that many changes cost one call.
   Duration WatchGap = Milliseconds(500);
   Duration RetryMin = Milliseconds(100);
