Send callers to the strongest members, as many as leaves' connections bear

Ruled out: processor time (0.3 % of a core in the mean); slow leaves, which hedges cover on the small sites. Change: discovery names at most the leaves' connection cap / 4 entries (8 at least), the strongest first, without much weaker ones; they divide connections and extra sends among themselves.

--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -1,9 +1,11 @@
 #include "citronlever/src/Edge/EdgeNode.h"
 
 #include "citronlever/src/Core/Event.h"
+#include "citronlever/src/Registry/EntrySelection.h"
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <random>
 
 namespace citronlever {
@@ -14,6 +16,8 @@
 /// Callers keep an address for some times the directory's time to live; until
 /// then a stopping process goes on accepting.
 constexpr int AddressLives = 3;
+/// Room in the fleet's limits beside the entries that callers are sent to.
+constexpr std::size_t SpareSenders = 1;
 /// Until the others can have registered too, the fleet's limits are divided by
 /// at least so many.
 constexpr Duration JoinTime = Seconds(3);
@@ -30,6 +34,7 @@
   Result.Region = Settings.Region;
   Result.Callers = Settings.Callers;
   Result.Peers = Settings.Peers;
+  Result.Capacity = Settings.Capacity;
   Result.Incarnation = std::random_device{}();
   return Result;
 }
@@ -124,7 +129,7 @@
 void EdgeNode::refresh(TimePoint Now) {
   const bool Expired = this->Leaves.expire(Now);
   this->Members.expire(Now);
-  std::size_t NewSenders = this->Members.sharers(Now);
+  std::size_t NewSenders = this->senders(Now);
   if (Now < this->StartedAt + JoinTime)
     NewSenders = std::max(NewSenders, SendersWhileJoining);
   if (!this->Changed && !Expired && NewSenders == this->Senders)
@@ -135,6 +140,18 @@
                      NewSenders, Now);
 }
 
+std::size_t EdgeNode::senders(TimePoint Now) const {
+  const std::vector<FleetMember> Entries = this->entries();
+  const std::size_t All = this->Members.sharers(Now);
+  const bool Chosen =
+      std::ranges::find(Entries, this->Settings.Name, &FleetMember::Name) !=
+      Entries.end();
+  // Those that callers are not sent to divide the fleet's limits with all.
+  if (!Chosen || Entries.size() == this->Members.serving().size())
+    return All;
+  return Entries.size() + SpareSenders;
+}
+
 void EdgeNode::tick(TimePoint Due) {
   this->Timer.expires_at(Due);
   this->Timer.async_wait([this, Due](auto Failure) {
@@ -180,9 +197,15 @@
   return this->Routes.get() && this->Feed->complete() && !this->Stopped;
 }
 
+std::vector<FleetMember> EdgeNode::entries() const {
+  if (!this->Routes.get())
+    return {};
+  return selectEntries(this->Members.serving(),
+                       this->Routes.get()->leastConnectionCap());
+}
+
 std::vector<std::string> EdgeNode::addresses(std::string_view Domain) const {
-  const std::vector<FleetMember> Serving = this->Members.serving();
-  return addressesFor(Serving, Domain, MaxAddresses);
+  return addressesFor(this->entries(), Domain, MaxAddresses);
 }
 
 std::vector<std::pair<std::string, double>> EdgeNode::figures() const {
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -62,6 +62,10 @@
   void memberGone(std::string_view Name) override;
 
   void feedCame(bool WasAway);
+  /// \returns the members to which callers are sent.
+  std::vector<FleetMember> entries() const;
+  /// \returns how many processes divide the fleet's limits with this one.
+  std::size_t senders(TimePoint Now) const;
   void refresh(TimePoint Now);
   void tick(TimePoint Due);
   void finishStop(TimePoint Now);
--- a/citronlever/src/Edge/EdgeSettings.cpp
+++ b/citronlever/src/Edge/EdgeSettings.cpp
@@ -7,6 +7,7 @@
 namespace citronlever {
 
 EdgeSettings readEdgeSettings(const std::string &Path) {
+  constexpr double MaxCores = 1024;
   constexpr double MaxRatio = 10;
   constexpr double MaxSlack = 1e6;
   constexpr std::int64_t MaxWindowMs = 600'000;
@@ -23,6 +24,8 @@
   Result.Directory = Fields.endpoint("directory");
   Result.Peers = Fields.endpoint("peers");
   Result.Store = Fields.endpoint("store");
+  Result.Capacity = Fields.number("processor_share", 0, 1, 1) *
+                    Fields.number("cores", 0, MaxCores, 1);
   Result.ExtraSends.Ratio = Fields.number("extra_send_ratio", 0, MaxRatio);
   Result.ExtraSends.Slack = Fields.number("extra_send_slack", 0, MaxSlack);
   Result.ExtraSends.Window =
--- a/citronlever/src/Edge/EdgeSettings.h
+++ b/citronlever/src/Edge/EdgeSettings.h
@@ -22,6 +22,8 @@
   /// Other members.
   Endpoint Peers;
   Endpoint Store;
+  /// Processor power of this VM, in cores.
+  double Capacity = 1;
   ExtraSendLimit ExtraSends;
   /// Time from a planned stop's signal until the process is killed.
   Duration StopTime = Seconds(6);
--- a/citronlever/src/Registry/FleetMembers.cpp
+++ b/citronlever/src/Registry/FleetMembers.cpp
@@ -71,11 +71,11 @@
   return Found == this->Members.end() ? nullptr : &Found->second.Member;
 }
 
-std::vector<std::string> addressesFor(std::span<const FleetMember> Serving,
+std::vector<std::string> addressesFor(std::span<const FleetMember> Entries,
                                       std::string_view Domain,
                                       std::size_t Most) {
   std::vector<const FleetMember *> Order;
-  for (const FleetMember &Member : Serving)
+  for (const FleetMember &Member : Entries)
     Order.push_back(&Member);
   std::stable_partition(
       Order.begin(), Order.end(),
--- a/citronlever/src/Registry/FleetMembers.h
+++ b/citronlever/src/Registry/FleetMembers.h
@@ -22,12 +22,14 @@
   Endpoint Peers;
   /// Serves, but callers are no longer to be sent there.
   bool Leaving = false;
+  /// Processor power of the VM, in cores.
+  double Capacity = 1;
   /// Differs between two starts of the same process.
   std::uint64_t Incarnation = 0;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Name, this->Domain, this->Region, this->Callers, this->Peers,
-       this->Leaving, this->Incarnation);
+       this->Leaving, this->Capacity, this->Incarnation);
   }
 };
 
@@ -73,7 +75,7 @@
 
 /// \returns the addresses to tell a caller of \p Domain, at most \p Most: those
 /// that serve, in a fixed order that starts with the caller's domain.
-std::vector<std::string> addressesFor(std::span<const FleetMember> Serving,
+std::vector<std::string> addressesFor(std::span<const FleetMember> Entries,
                                       std::string_view Domain,
                                       std::size_t Most);
 
--- a/citronlever/src/Routing/RouteTable.cpp
+++ b/citronlever/src/Routing/RouteTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <limits>
 
 namespace citronlever {
 
@@ -49,6 +50,19 @@
   return Found == this->Services.end() ? nullptr : &Found->second;
 }
 
+int RouteTable::leastConnectionCap() const {
+  int Least = std::numeric_limits<int>::max();
+  for (const Route &Entry : this->Routes)
+    for (const std::string &Shard : Entry.Shards)
+      if (const ServiceSpec *Spec = this->service(Shard))
+        Least = std::min(Least, Spec->ConnectionCap);
+  if (Least != std::numeric_limits<int>::max())
+    return Least;
+  for (const auto &[Name, Spec] : this->Services)
+    Least = std::min(Least, Spec.ConnectionCap);
+  return Least;
+}
+
 bool CurrentRoutes::offer(RouteTablePtr Offered) {
   if (this->Table && Offered->version() <= this->Table->version())
     return false;
--- a/citronlever/src/Routing/RouteTable.h
+++ b/citronlever/src/Routing/RouteTable.h
@@ -23,6 +23,10 @@
   /// \returns the service \p Name, or null.
   const ServiceSpec *service(std::string_view Name) const;
 
+  /// \returns the fewest connections that a leaf of any route's shard accepts,
+  /// or of any service if no route has shards.
+  int leastConnectionCap() const;
+
   std::uint64_t version() const { return this->Version; }
   const CallerLimits &limits() const { return this->Limits; }
   const std::vector<Route> &routes() const { return this->Routes; }
