Follow the store through a few members in a large fleet

Ruled out: longer gaps between watches, which the bounds of configuration and draining don't leave room for; lease renewals are a tenth of a call each. Change: above 12 members three (and one for each 64 members more), of different failure domains, watch the store and relay changes that mean something; a member whose relays are silent or cut off watches the store itself.

--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -45,6 +45,7 @@
                    KeyStore &Store, const DocumentReader &Documents,
                    const HeaderNames &Names)
     : Io(Context), Settings(std::move(Configured)), Store(Store),
+      Changes(Context, Store), Peers(Context, {}, relayHandler(this->Relay)),
       Documents(Documents),
       Fleet(Context, Names, {this->Settings.Domain, this->Settings.ExtraSends, {}}),
       Runs{Context, Names, this->Fleet, this->Delay, {}, {},
@@ -59,10 +60,8 @@
             return this->Routes.get() ? this->Routes.get()->limits()
                                       : CallerLimits{};
           }),
-      Mirror([this](const StoreItem &Item) {
-        this->Documents.read(Item, *this);
-      }),
-      Feed(std::make_shared<StoreFeed>(Context, Store, this->Mirror,
+      Mirror([this](const StoreItem &Item) { this->changed(Item); }),
+      Feed(std::make_shared<StoreFeed>(Context, this->Changes, this->Mirror,
                                        StoreFeedSettings{})),
       Lease(std::make_shared<MemberLease>(Context, Store, Documents,
                                           self(this->Settings))),
@@ -75,12 +74,22 @@
   this->Callers.listen(this->Settings.Callers);
   logEvent(event::ProcessStarted, this->Settings.Name,
            toString(this->Settings.Callers));
-  this->Feed->start([this](bool WasAway) { this->feedCame(WasAway); }, [] {});
+  this->Peers.listen(this->Settings.Peers);
+  this->Feed->start([this](bool WasAway) { this->feedCame(WasAway); },
+                    [this] { this->Relay.lost(); });
   this->tick(Clock::now() + TickPeriod);
 }
 
+void EdgeNode::changed(const StoreItem &Item) {
+  this->Meaningful = true;
+  this->Documents.read(Item, *this);
+  if (this->Meaningful)
+    this->Relay.record(Item);
+}
+
 void EdgeNode::leaf(LeafEntry Entry) {
-  if (this->Leaves.put(std::move(Entry), Clock::now()))
+  this->Meaningful = this->Leaves.put(std::move(Entry), Clock::now());
+  if (this->Meaningful)
     this->Changed = true;
 }
 
@@ -120,12 +129,33 @@
     this->Members.storeBack(Now);
   }
   this->refresh(Now);
+  this->Relay.advance(this->Feed->asOf(), Now);
+  this->chooseRelays();
   if (this->Lease && this->Routes.get() && !this->Registered) {
     this->Registered = true;
     this->Lease->start();
   }
 }
 
+void EdgeNode::chooseRelays() {
+  const std::vector<FleetMember> Watchers =
+      selectWatchers(this->entries(), this->Members.serving().size());
+  std::vector<Endpoint> Peers;
+  for (const FleetMember &Member : Watchers) {
+    if (Member.Name == this->Settings.Name) {
+      this->Changes.setRelays({});
+      return;
+    }
+    Peers.push_back(Member.Peers);
+  }
+  // Members begin with different watchers, so that each serves a like part.
+  if (!Peers.empty())
+    std::ranges::rotate(Peers, Peers.begin() +
+                                   static_cast<std::ptrdiff_t>(
+                                       this->Spread % Peers.size()));
+  this->Changes.setRelays(std::move(Peers));
+}
+
 void EdgeNode::refresh(TimePoint Now) {
   const bool Expired = this->Leaves.expire(Now);
   this->Members.expire(Now);
@@ -160,6 +190,7 @@
     const TimePoint Now = Clock::now();
     this->Delay.note(Due, Now);
     this->refresh(Now);
+    this->Relay.expire(Now);
     if (this->Stopped)
       this->finishStop(Now);
     this->tick(Now + TickPeriod);
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -8,12 +8,14 @@
 #include "citronlever/src/Registry/Documents.h"
 #include "citronlever/src/Registry/LeafRegistry.h"
 #include "citronlever/src/Registry/MemberLease.h"
+#include "citronlever/src/Registry/RelayedStore.h"
 #include "citronlever/src/Registry/StoreFeed.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
@@ -61,7 +63,9 @@
   void member(FleetMember Member) override;
   void memberGone(std::string_view Name) override;
 
+  void changed(const StoreItem &Item);
   void feedCame(bool WasAway);
+  void chooseRelays();
   /// \returns the members to which callers are sent.
   std::vector<FleetMember> entries() const;
   /// \returns how many processes divide the fleet's limits with this one.
@@ -73,6 +77,9 @@
   boost::asio::io_context &Io;
   EdgeSettings Settings;
   KeyStore &Store;
+  RelayedStore Changes;
+  ChangeRelay Relay;
+  HttpServer Peers;
   const DocumentReader &Documents;
   LeafRegistry Leaves;
   FleetMembers Members;
@@ -88,7 +95,10 @@
   std::shared_ptr<MemberLease> Lease;
   boost::asio::steady_timer Timer;
   std::size_t Senders = 0;
+  std::size_t Spread = std::random_device{}();
   bool Changed = false;
+  /// Whether the item that is being read says anything new.
+  bool Meaningful = false;
   bool Registered = false;
   TimePoint StartedAt{};
   TimePoint StopBegan = TimePoint::max();
--- a/citronlever/src/Registry/KeyStore.h
+++ b/citronlever/src/Registry/KeyStore.h
@@ -33,6 +33,10 @@
   std::string Value;
   std::uint64_t Revision = 0;
   bool Removed = false;
+
+  template <class Archive> void serialize(Archive &Ar) {
+    Ar(this->Key, this->Value, this->Revision, this->Removed);
+  }
 };
 
 /// Result of a read or a watch.
--- a/citronlever/src/Registry/MemberLease.h
+++ b/citronlever/src/Registry/MemberLease.h
@@ -11,8 +11,8 @@
 
 /// Times of a member's registration.
 struct MemberLeaseSettings {
-  Duration TimeToLive = Milliseconds(3500);
-  Duration Renewal = Milliseconds(1100);
+  Duration TimeToLive = Milliseconds(4500);
+  Duration Renewal = Milliseconds(1500);
   Duration RetryPause = Milliseconds(300);
 };
 
--- /dev/null
+++ b/citronlever/src/Registry/RelayedStore.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "citronlever/src/Core/HttpClient.h"
+#include "citronlever/src/Core/HttpServer.h"
+#include "citronlever/src/Registry/ChangeRelay.h"
+#include "citronlever/src/Registry/FleetMembers.h"
+#include "citronlever/src/Registry/KeyStore.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace citronlever {
+
+/// A store whose watches go to other members that watch it, and to the store
+/// itself only while none of them answers.
+class RelayedStore final : public KeyStore {
+public:
+  RelayedStore(boost::asio::io_context &Context, KeyStore &Store);
+
+  /// Members to ask, best first; empty: watch the store itself.
+  void setRelays(std::vector<Endpoint> Peers);
+
+  void range(const std::string &Prefix, const std::string &After,
+             ThenItems Then) override {
+    this->Store.range(Prefix, After, std::move(Then));
+  }
+  void watch(const std::string &Prefix, std::uint64_t Revision, Duration Wait,
+             ThenItems Then) override;
+  void write(StoreWrite Write, ThenReply Then) override {
+    this->Store.write(std::move(Write), std::move(Then));
+  }
+  void grantLease(Duration TimeToLive, ThenReply Then) override {
+    this->Store.grantLease(TimeToLive, std::move(Then));
+  }
+  void renewLease(std::uint64_t Lease, ThenReply Then) override {
+    this->Store.renewLease(Lease, std::move(Then));
+  }
+  void endLease(std::uint64_t Lease, ThenReply Then) override {
+    this->Store.endLease(Lease, std::move(Then));
+  }
+  StoreCalls calls() const override { return this->Store.calls(); }
+
+private:
+  struct Relay {
+    Endpoint Peer;
+    TimePoint NotBefore{};
+  };
+
+  Relay *usable(TimePoint Now);
+  void ask(const Endpoint &Peer, const std::string &Prefix,
+           std::uint64_t Revision, Duration Wait, ThenItems Then);
+  void failed(const Endpoint &Peer, TimePoint Now);
+
+  boost::asio::io_context &Context;
+  KeyStore &Store;
+  std::vector<Relay> Relays;
+  std::map<Endpoint, std::shared_ptr<HttpClient>> Clients;
+};
+
+/// Answers other members' questions from \p Relay.
+HttpHandler relayHandler(ChangeRelay &Relay);
+
+/// \returns the members that watch the store for the others, or none while the
+/// fleet is so small that each watches it itself.
+std::vector<FleetMember> selectWatchers(const std::vector<FleetMember> &Entries,
+                                        std::size_t Members);
+
+} // namespace citronlever
