Spend unused extra sends in a failure, and drop silent members from discovery

Ruled out: detection of the slow leaves (the sibling was chosen within a few answers). Change: extra sends are counted in a sliding window; a send after failures may go to a leaf that was asked before; failed answers no longer set a leaf aside, only silence does; members that leave three probes (200 ms) unanswered are not named.

--- a/citronlever/src/Dispatch/ExtraSendWindow.h
+++ b/citronlever/src/Dispatch/ExtraSendWindow.h
@@ -3,7 +3,9 @@
 #include "citronlever/src/Core/Time.h"
 
 #include <algorithm>
+#include <array>
 #include <cstddef>
+#include <cstdint>
 
 namespace citronlever {
 
@@ -20,74 +22,97 @@
 /// This process's part of the fleet's extra sends to one service. Load pattern:
 /// mass failures and slow leaves, when every request would like a second send.
 ///
-/// Tokens come with requests and, for the slack, with time. A bucket of half
-/// the slack that regains the other half in a window never gives more than the
-/// limit in any window. It starts empty, since a process that was restarted
-/// does not know what it has spent.
+/// Counts requests and extra sends of the last window, so that what a calm time
+/// did not use is there for the seconds of a failure. A process that was just
+/// started does not know what it has spent and has no part of the slack until a
+/// window has gone by.
 class ExtraSendWindow {
 public:
   explicit ExtraSendWindow(ExtraSendLimit Limit) : Limit(Limit) {}
 
-  /// \p Sharers processes divide the slack.
-  void setSharers(std::size_t Count, TimePoint Now) {
-    this->refill(Now);
-    this->Sharers = Count;
-    this->Tokens = std::min(this->Tokens, this->capacity());
-  }
+  /// \p Count processes divide the slack.
+  void setSharers(std::size_t Count) { this->Sharers = Count; }
 
   /// A request for the service came from a caller.
   void request(TimePoint Now) {
-    this->refill(Now);
-    this->gain(SafeShare * this->Limit.Ratio);
+    this->advance(Now);
+    ++this->current().Requests;
+    ++this->Requests;
   }
 
-  /// Takes one extra send and leaves at least \p Reserve (of 1) of the bucket.
+  /// Takes one extra send and leaves at least the part \p Reserve of the limit.
   bool tryTake(TimePoint Now, double Reserve = 0) {
-    this->refill(Now);
-    if (this->Tokens < 1 + Reserve * this->capacity())
+    this->advance(Now);
+    const double Allowed = this->allowed();
+    if (static_cast<double>(this->Extras) + 1 > (1 - Reserve) * Allowed) {
+      ++this->Denied;
       return false;
-    this->Tokens -= 1;
+    }
+    ++this->current().Extras;
+    ++this->Extras;
     return true;
   }
 
   /// Gives back an extra send that was never handed to a connection.
-  void giveBack() { this->gain(1); }
+  void giveBack() {
+    if (this->current().Extras == 0)
+      return;
+    --this->current().Extras;
+    --this->Extras;
+  }
 
-  double tokens() const { return this->Tokens; }
+  std::uint64_t denied() const { return this->Denied; }
 
 private:
-  /// Part of the limit that is used, since requests that this process counts
-  /// may fall into a neighbouring window of the operators' count.
+  /// Parts of a window in which counts are kept.
+  static constexpr std::size_t Slices = 20;
+  /// Part of the limit that is used: the fleet's views of who shares it differ
+  /// for moments, and requests fall into neighbouring windows.
   static constexpr double SafeShare = 0.85;
-  /// A bucket that can't hold one send would never give one.
-  static constexpr double LeastCapacity = 1.5;
-
-  double part() const {
-    return this->Sharers == 0 ? 0
-                              : SafeShare * this->Limit.Slack /
-                                    static_cast<double>(this->Sharers);
-  }
-
-  double capacity() const {
-    return this->Sharers == 0 ? 0 : std::max(LeastCapacity, this->part() / 2);
-  }
 
-  void gain(double Count) {
-    this->Tokens = std::min(this->capacity(), this->Tokens + Count);
+  struct Slice {
+    std::uint32_t Requests = 0;
+    std::uint32_t Extras = 0;
+  };
+
+  Slice &current() { return this->Ring[this->At % Ring.size()]; }
+
+  double allowed() const {
+    const double Ratio =
+        this->Limit.Ratio * static_cast<double>(this->Requests);
+    const bool Young = this->At < this->FirstAt + Slices;
+    const double Slack =
+        Young || this->Sharers == 0
+            ? 0
+            : this->Limit.Slack / static_cast<double>(this->Sharers);
+    return SafeShare * (Ratio + Slack);
   }
 
-  void refill(TimePoint Now) {
-    if (this->Last != TimePoint{} && Now > this->Last)
-      this->gain(this->part() / 2 *
-                 (std::chrono::duration<double>(Now - this->Last) /
-                  this->Limit.Window));
-    this->Last = std::max(this->Last, Now);
+  void advance(TimePoint Now) {
+    const auto Length = this->Limit.Window / static_cast<int>(Slices);
+    const auto Target =
+        static_cast<std::uint64_t>(Now.time_since_epoch() / Length);
+    if (this->FirstAt == 0)
+      this->FirstAt = this->At = Target;
+    if (Target > this->At + this->Ring.size())
+      this->At = Target - this->Ring.size();
+    while (this->At < Target) {
+      ++this->At;
+      // The slice that is used again lies a whole window and one slice back.
+      this->Requests -= this->current().Requests;
+      this->Extras -= this->current().Extras;
+      this->current() = {};
+    }
   }
 
   ExtraSendLimit Limit;
   std::size_t Sharers = 0;
-  double Tokens = 0;
-  TimePoint Last{};
+  std::array<Slice, Slices + 1> Ring{};
+  std::uint64_t At = 0;
+  std::uint64_t FirstAt = 0;
+  std::uint64_t Requests = 0;
+  std::uint64_t Extras = 0;
+  std::uint64_t Denied = 0;
 };
 
 } // namespace citronlever
--- a/citronlever/src/Dispatch/ReplicaStats.cpp
+++ b/citronlever/src/Dispatch/ReplicaStats.cpp
@@ -78,13 +78,11 @@
     this->sample(ShedSample, Now);
 }
 
-void ReplicaStats::failed(CallId Call, TimePoint Now) {
+void ReplicaStats::failed(CallId Call) {
   TimePoint Sent;
   if (!this->take(Call, Sent))
     return;
   this->FailureShare += FailureWeight * (1 - this->FailureShare);
-  if (++this->FailuresInRow >= FailuresToExclude)
-    this->exclude(Now);
 }
 
 void ReplicaStats::abandoned(CallId Call, Duration Typical, TimePoint Now) {
--- a/citronlever/src/Dispatch/ReplicaStats.h
+++ b/citronlever/src/Dispatch/ReplicaStats.h
@@ -33,7 +33,7 @@
   void shed(CallId Call, TimePoint Now);
 
   /// The call failed, or its connection did.
-  void failed(CallId Call, TimePoint Now);
+  void failed(CallId Call);
 
   /// The call is no longer waited for. An age beyond the typical latency is
   /// taken as a latency.
--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -65,9 +65,12 @@
                                        StoreFeedSettings{})),
       Lease(std::make_shared<MemberLease>(Context, Store, Documents,
                                           self(this->Settings))),
-      Timer(Context) {}
+      Probe(std::make_shared<PeerProbe>(Context)), Timer(Context) {}
 
-EdgeNode::~EdgeNode() { this->Feed->stop(); }
+EdgeNode::~EdgeNode() {
+  this->Feed->stop();
+  this->Probe->stop();
+}
 
 void EdgeNode::start() {
   this->StartedAt = Clock::now();
@@ -75,6 +78,7 @@
   logEvent(event::ProcessStarted, this->Settings.Name,
            toString(this->Settings.Callers));
   this->Peers.listen(this->Settings.Peers);
+  this->Probe->listen(this->Settings.Peers);
   this->Feed->start([this](bool WasAway) { this->feedCame(WasAway); },
                     [this] { this->Relay.lost(); });
   this->tick(Clock::now() + TickPeriod);
@@ -131,6 +135,7 @@
   this->refresh(Now);
   this->Relay.advance(this->Feed->asOf(), Now);
   this->chooseRelays();
+  this->chooseProbes();
   if (this->Lease && this->Routes.get() && !this->Registered) {
     this->Registered = true;
     this->Lease->start();
@@ -156,6 +161,14 @@
   this->Changes.setRelays(std::move(Peers));
 }
 
+void EdgeNode::chooseProbes() {
+  std::vector<Endpoint> Peers;
+  for (const FleetMember &Member : this->entries())
+    if (Member.Name != this->Settings.Name)
+      Peers.push_back(Member.Peers);
+  this->Probe->setPeers(Peers, this->Members.serving().size());
+}
+
 void EdgeNode::refresh(TimePoint Now) {
   const bool Expired = this->Leaves.expire(Now);
   this->Members.expire(Now);
@@ -236,7 +249,11 @@
 }
 
 std::vector<std::string> EdgeNode::addresses(std::string_view Domain) const {
-  return addressesFor(this->entries(), Domain, MaxAddresses);
+  std::vector<FleetMember> Entries = this->entries();
+  std::erase_if(Entries, [this](const FleetMember &Member) {
+    return this->Probe->silent(Member.Peers);
+  });
+  return addressesFor(Entries, Domain, MaxAddresses);
 }
 
 std::vector<std::pair<std::string, double>> EdgeNode::figures() const {
@@ -256,6 +273,7 @@
           {"leaf_connects_total", Number(Calls.Connects)},
           {"leaf_connect_failures_total", Number(Calls.ConnectFailures)},
           {"leaf_stray_bytes_total", Number(Calls.StrayBytes)},
+          {"extra_sends_denied_total", Number(this->Fleet.extraSendsDenied())},
           {"leaf_connections", Number(this->Fleet.connections())},
           {"leaves", Number(this->Leaves.size())},
           {"store_reads_total", Number(Store.Reads)},
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -8,6 +8,7 @@
 #include "citronlever/src/Registry/Documents.h"
 #include "citronlever/src/Registry/LeafRegistry.h"
 #include "citronlever/src/Registry/MemberLease.h"
+#include "citronlever/src/Registry/PeerProbe.h"
 #include "citronlever/src/Registry/RelayedStore.h"
 #include "citronlever/src/Registry/StoreFeed.h"
 
@@ -66,6 +67,7 @@
   void changed(const StoreItem &Item);
   void feedCame(bool WasAway);
   void chooseRelays();
+  void chooseProbes();
   /// \returns the members to which callers are sent.
   std::vector<FleetMember> entries() const;
   /// \returns how many processes divide the fleet's limits with this one.
@@ -93,6 +95,7 @@
   StoreMirror Mirror;
   std::shared_ptr<StoreFeed> Feed;
   std::shared_ptr<MemberLease> Lease;
+  std::shared_ptr<PeerProbe> Probe;
   boost::asio::steady_timer Timer;
   std::size_t Senders = 0;
   std::size_t Spread = std::random_device{}();
--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -115,7 +115,7 @@
   else if (Call->Done && Answer.Outcome == LeafOutcome::Lost)
     this->Stats.abandoned(Call->Id, Call->Typical, Now);
   else if (Failure)
-    this->Stats.failed(Call->Id, Now);
+    this->Stats.failed(Call->Id);
   else
     this->Stats.answered(Call->Id, Call->Typical, Now);
   if (std::exchange(Call->Done, true) || !Call->Then)
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -30,7 +30,7 @@
                        std::size_t SenderCount, TimePoint Now) {
   this->Senders = SenderCount;
   for (auto &[Service, Window] : this->Windows)
-    Window.setSharers(SenderCount, Now);
+    Window.setSharers(SenderCount);
   this->Services.clear();
   std::set<std::string> Kept;
   Registry.each([&](const LeafEntry &Entry) {
@@ -140,7 +140,7 @@
                 .emplace(std::string(Service),
                          ExtraSendWindow(this->Settings.ExtraSends))
                 .first;
-    Found->second.setSharers(this->Senders, Clock::now());
+    Found->second.setSharers(this->Senders);
   }
   return Found->second;
 }
@@ -153,6 +153,13 @@
   return Found->second;
 }
 
+std::uint64_t LeafFleet::extraSendsDenied() const {
+  std::uint64_t Count = 0;
+  for (const auto &[Service, Window] : this->Windows)
+    Count += Window.denied();
+  return Count;
+}
+
 std::size_t LeafFleet::connections() const {
   std::size_t Count = 0;
   for (const auto &[Id, Channel] : this->Channels)
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -53,6 +53,8 @@
 
   const LeafChannelCounters &counters() const { return this->Totals; }
   std::size_t connections() const;
+  /// \returns how often an extra send was wanted and not allowed.
+  std::uint64_t extraSendsDenied() const;
   std::size_t leaves() const { return this->Channels.size(); }
 
 private:
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -56,9 +56,28 @@
   return this->Of.Kind == RequestKind::Idempotent;
 }
 
-bool ReplicaCall::attemptsLeft() const {
-  const int Used = this->LeavesUsed + static_cast<int>(this->InFlight.size());
-  return Used < this->Of.Attempts && this->Sends < SendsPerAttempt * this->Of.Attempts;
+bool ReplicaCall::otherLeafAllowed() const {
+  std::size_t Leaves = this->Used.size();
+  for (const Send &Item : this->InFlight)
+    if (std::ranges::find(this->Used, Item.Leaf) == this->Used.end())
+      ++Leaves;
+  return static_cast<int>(Leaves) < this->Of.Attempts;
+}
+
+LeafChannelPtr ReplicaCall::chooseAgain(TimePoint Now) {
+  const Duration Typical = this->Fleet.figures(this->Of).typical();
+  if (this->otherLeafAllowed())
+    if (const LeafChannelPtr Other =
+            this->Fleet.choose(this->Service, this->Tried, Typical, Now))
+      return Other;
+  std::vector<LeafChannelPtr> Avoid;
+  for (const LeafChannelPtr &Leaf : this->Fleet.replicas(this->Service)) {
+    const bool Busy = std::ranges::find(this->InFlight, Leaf, &Send::Leaf) !=
+                      this->InFlight.end();
+    if (Busy || std::ranges::find(this->Used, Leaf) == this->Used.end())
+      Avoid.push_back(Leaf);
+  }
+  return this->Fleet.choose(this->Service, Avoid, Typical, Now);
 }
 
 bool ReplicaCall::sendNext(bool Extra, TimePoint Now) {
@@ -117,7 +136,8 @@
     this->sendAgain(Now);
     return;
   }
-  ++this->LeavesUsed;
+  if (std::ranges::find(this->Used, From.Leaf) == this->Used.end())
+    this->Used.push_back(From.Leaf);
   this->Ran = combine(this->Ran, Answer.Outcome == LeafOutcome::Answered
                                      ? Verdict::Ran
                                      : Verdict::MayHaveRun);
@@ -142,7 +162,8 @@
 }
 
 void ReplicaCall::sendAgain(TimePoint Now) {
-  if (!this->attemptsLeft() || Now >= this->Request->deadline()) {
+  if (this->Sends >= SendsPerAttempt * this->Of.Attempts ||
+      Now >= this->Request->deadline()) {
     if (this->InFlight.empty())
       this->fail();
     return;
@@ -156,8 +177,10 @@
     return;
   }
   this->RetryPending = false;
-  if (this->sendNext(true, Now))
+  if (const LeafChannelPtr Leaf = this->chooseAgain(Now)) {
+    this->send(Leaf, true, Now);
     return;
+  }
   Window.giveBack();
   if (this->InFlight.empty())
     this->fail();
@@ -191,7 +214,7 @@
 
 void ReplicaCall::hedge(TimePoint Now) {
   if (!this->mayRepeat() || this->InFlight.size() > 1 ||
-      !this->attemptsLeft())
+      !this->otherLeafAllowed())
     return;
   ExtraSendWindow &Window = this->Fleet.extraSends(this->Service);
   if (!Window.tryTake(Now, HedgeReserve)) {
--- a/citronlever/src/Gateway/ReplicaCall.h
+++ b/citronlever/src/Gateway/ReplicaCall.h
@@ -61,7 +61,9 @@
   void finish(ReplicaResult Result);
   void fail();
   bool mayRepeat() const;
-  bool attemptsLeft() const;
+  bool otherLeafAllowed() const;
+  /// \returns a leaf for one more send after a failure, or null.
+  LeafChannelPtr chooseAgain(TimePoint Now);
 
   LeafFleet &Fleet;
   const Route &Of;
@@ -69,10 +71,10 @@
   LeafRequestPtr Request;
   Handler Then;
   std::vector<Send> InFlight;
-  /// Leaves that are not asked again.
+  /// Leaves that are not asked again while there are others.
   std::vector<LeafChannelPtr> Tried;
-  /// Ended sends whose leaf may have begun to work.
-  int LeavesUsed = 0;
+  /// Leaves that may have begun to work; the route bounds their number.
+  std::vector<LeafChannelPtr> Used;
   int FreeSends = 0;
   int Sends = 0;
   Verdict Ran = Verdict::NotRun;
