--- /dev/null
+++ b/test/Dispatch/ExtraSendWindowTest.cpp
@@ -0,0 +1,124 @@
+#include "citronlever/Dispatch"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <memory>
+#include <random>
+#include <vector>
+
+using namespace citronlever;
+
+namespace {
+
+constexpr ExtraSendLimit Limit{0.2, 56, Seconds(10)};
+constexpr int Senders = 8;
+
+/// Counts over the whole fleet what the operators count.
+class SlidingCount {
+public:
+  void add(TimePoint At, bool Extra) {
+    this->Events.push_back({At, Extra});
+    (Extra ? this->Extras : this->Requests) += 1;
+    while (this->Events.front().At <= At - Limit.Window) {
+      (this->Events.front().Extra ? this->Extras : this->Requests) -= 1;
+      this->Events.pop_front();
+    }
+  }
+
+  bool within() const {
+    return this->Extras <= Limit.Ratio * this->Requests + Limit.Slack;
+  }
+
+private:
+  struct Event {
+    TimePoint At;
+    bool Extra;
+  };
+  std::deque<Event> Events;
+  double Requests = 0;
+  double Extras = 0;
+};
+
+std::vector<ExtraSendWindow> fleet() {
+  std::vector<ExtraSendWindow> Result(Senders, ExtraSendWindow(Limit));
+  for (ExtraSendWindow &Window : Result)
+    Window.setSharers(Senders);
+  return Result;
+}
+
+} // namespace
+
+DOCTEST_TEST_CASE("mass failures: the fleet's extra sends stay within each "
+                  "window, through restarts that forget") {
+  for (const unsigned Seed : {1U, 2U, 3U, 4U}) {
+    DOCTEST_INFO("seed " << Seed);
+    std::mt19937 Random(Seed);
+    auto Windows = fleet();
+    SlidingCount Count;
+    TimePoint Now{Seconds(100)};
+    bool Held = true;
+    int Taken = 0;
+    for (int At = 0; At < 6000; ++At) {
+      Now += Milliseconds(Random() % 20);
+      if (Random() % 1500 == 0)
+        Windows = fleet();
+      ExtraSendWindow &Window = Windows[Random() % Senders];
+      Window.request(Now);
+      Count.add(Now, false);
+      // Every request would like two extra sends.
+      for (int Try = 0; Try < 2; ++Try)
+        if (Window.tryTake(Now)) {
+          Count.add(Now, true);
+          ++Taken;
+        }
+      Held = Held && Count.within();
+    }
+    DOCTEST_CHECK(Held);
+    DOCTEST_CHECK(Taken > 600);
+  }
+}
+
+DOCTEST_TEST_CASE("what a calm time did not use is there for a failure") {
+  ExtraSendWindow Window(Limit);
+  Window.setSharers(Senders);
+  TimePoint Now{Seconds(100)};
+  for (int At = 0; At < 200; ++At) {
+    Window.request(Now);
+    Now += Milliseconds(100);
+  }
+  int Taken = 0;
+  while (Window.tryTake(Now))
+    ++Taken;
+  DOCTEST_CHECK(Taken >= 20);
+}
+
+DOCTEST_TEST_CASE("hedges leave a part of the limit to retries") {
+  ExtraSendWindow Window(Limit);
+  Window.setSharers(1);
+  TimePoint Now{Seconds(100)};
+  for (int At = 0; At < 1200; ++At) {
+    Window.request(Now);
+    Now += Milliseconds(10);
+  }
+  int Hedges = 0;
+  while (Window.tryTake(Now, 0.25))
+    ++Hedges;
+  int Retries = 0;
+  while (Window.tryTake(Now))
+    ++Retries;
+  DOCTEST_CHECK(Hedges > 0);
+  DOCTEST_CHECK(Retries >= Hedges / 4);
+}
+
+DOCTEST_TEST_CASE("a send that was never handed over is given back") {
+  ExtraSendWindow Window(Limit);
+  Window.setSharers(1);
+  TimePoint Now{Seconds(100)};
+  for (int At = 0; At < 10; ++At)
+    Window.request(Now);
+  DOCTEST_CHECK(Window.tryTake(Now));
+  DOCTEST_CHECK(!Window.tryTake(Now));
+  Window.giveBack();
+  DOCTEST_CHECK(Window.tryTake(Now));
+}
--- /dev/null
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -0,0 +1,228 @@
+#include "RawLeaf.h"
+#include "citronlever/Gateway"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace citronlever;
+
+namespace {
+
+struct Fixture {
+  boost::asio::io_context Io;
+  RawLeaf Leaf;
+  LeafChannelCounters Totals;
+  LeafChannelPtr Channel;
+  std::uint64_t LastCall = 0;
+
+  explicit Fixture(RawLeaf::Serving Serve) : Leaf(this->Io, std::move(Serve)) {
+    LeafEntry Entry;
+    Entry.Id = "leaf-1";
+    Entry.Address = this->Leaf.address();
+    this->Channel = std::make_shared<LeafChannel>(
+        this->Io, Entry, TestNames, LeafChannelSettings{}, this->Totals);
+    this->Channel->setMaxConnections(2);
+  }
+
+  LeafCallPtr call(const std::string &Id, std::vector<LeafAnswer> &Answers,
+                   const std::string &Method = "GET") {
+    HttpRequest Http;
+    Http.Method = Method;
+    Http.Target = "/p?q=1";
+    Http.Headers.set("X-Id", Id);
+    auto Call = std::make_shared<LeafCall>();
+    Call->Id = ++this->LastCall;
+    Call->Request = std::make_shared<LeafRequest>(Http, TestNames,
+                                                  Clock::now() + Seconds(5));
+    Call->Typical = Milliseconds(10);
+    Call->Then = [&Answers](LeafAnswer Answer) {
+      Answers.push_back(std::move(Answer));
+    };
+    this->Channel->call(Call);
+    return Call;
+  }
+
+  template <class Condition> bool until(Condition Holds) {
+    const TimePoint End = Clock::now() + Seconds(5);
+    while (!Holds() && Clock::now() < End)
+      this->Io.run_for(Milliseconds(2));
+    return Holds();
+  }
+
+  LeafAnswer one(const std::string &Id) {
+    std::vector<LeafAnswer> Answers;
+    this->call(Id, Answers);
+    DOCTEST_REQUIRE(this->until([&] { return !Answers.empty(); }));
+    return Answers.front();
+  }
+};
+
+} // namespace
+
+DOCTEST_TEST_CASE("a whole answer is passed on and its connection kept") {
+  Fixture Test([](const std::string &Head, RawLeaf::Peer &To) {
+    To.write(RawLeaf::answer(Head, "body"));
+  });
+  const LeafAnswer First = Test.one("a");
+  DOCTEST_CHECK((First.Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK(First.Response.Body == "body");
+  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK(Test.Leaf.Accepted == 1);
+  DOCTEST_CHECK(RawLeaf::field(Test.Leaf.Requests[0], "X-Leaf") == "leaf-1");
+  const int Left = std::stoi(RawLeaf::field(Test.Leaf.Requests[0], "X-Deadline"));
+  DOCTEST_CHECK(Left <= 5000);
+  DOCTEST_CHECK(Left > 3000);
+}
+
+DOCTEST_TEST_CASE("crossed answers: one of another request is passed over") {
+  Fixture Test([](const std::string &Head, RawLeaf::Peer &To) {
+    To.write("HTTP/1.1 200 OK\r\nX-Id: earlier\r\nX-Signature: s\r\n"
+             "Content-Length: 5\r\n\r\nother" +
+             RawLeaf::answer(Head, "mine"));
+  });
+  const LeafAnswer Came = Test.one("a");
+  DOCTEST_CHECK((Came.Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK(Came.Response.Body == "mine");
+  DOCTEST_CHECK(Test.one("b").Response.Body == "mine");
+  DOCTEST_CHECK(Test.Leaf.Accepted == 2);
+}
+
+DOCTEST_TEST_CASE("bytes after a whole answer end its connection") {
+  Fixture Test([](const std::string &Head, RawLeaf::Peer &To) {
+    To.write(RawLeaf::answer(Head, "mine") + "trailing");
+  });
+  DOCTEST_CHECK(Test.one("a").Response.Body == "mine");
+  DOCTEST_CHECK(Test.one("b").Response.Body == "mine");
+  DOCTEST_CHECK(Test.Leaf.Accepted == 2);
+}
+
+DOCTEST_TEST_CASE("a late second answer on an idle connection is nobody's") {
+  Fixture Test([](const std::string &Head, RawLeaf::Peer &To) {
+    To.write(RawLeaf::answer(Head, "mine"));
+  });
+  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::Answered));
+  Test.Leaf.Serve = [](const std::string &Head, RawLeaf::Peer &To) {
+    To.write(RawLeaf::answer(Head, "new"));
+    To.write(RawLeaf::answer(Head, "new"));
+  };
+  DOCTEST_CHECK(Test.one("b").Response.Body == "new");
+  Test.until([&] { return Test.Totals.StrayBytes > 0; });
+  DOCTEST_CHECK(Test.Channel->connections() == 0);
+}
+
+DOCTEST_TEST_CASE("answers that end early are lost") {
+  Fixture Test([](const std::string &Head, RawLeaf::Peer &To) {
+    std::string Bytes = RawLeaf::answer(Head, "whole body");
+    Bytes.resize(Bytes.size() - 3);
+    To.write(Bytes);
+    To.close();
+  });
+  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::Lost));
+}
+
+DOCTEST_TEST_CASE("an answer without a length ends with its connection, unless "
+                  "that is reset") {
+  bool Reset = false;
+  Fixture Test([&](const std::string &Head, RawLeaf::Peer &To) {
+    To.write("HTTP/1.1 200 OK\r\nX-Id: " + RawLeaf::field(Head, "X-Id") +
+             "\r\nX-Signature: s\r\n\r\nbody");
+    if (Reset)
+      To.reset();
+    else
+      To.close();
+  });
+  const LeafAnswer Whole = Test.one("a");
+  DOCTEST_CHECK((Whole.Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK(Whole.Response.Body == "body");
+  Reset = true;
+  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Lost));
+}
+
+DOCTEST_TEST_CASE("bytes that are no answer are lost, as is a success without a "
+                  "signature or with an encoding") {
+  std::string Bytes;
+  Fixture Test([&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
+  Bytes = "\x01\x02 nonsense\r\n\r\n";
+  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::Lost));
+  Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Lost));
+  Bytes = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n"
+          "Content-Length: 0\r\n\r\n";
+  DOCTEST_CHECK((Test.one("c").Outcome == LeafOutcome::Lost));
+}
+
+DOCTEST_TEST_CASE("a refusal that says so is not run; another leaf at the address "
+                  "is never asked again") {
+  std::string Bytes;
+  Fixture Test([&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
+  Bytes = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::NotRun));
+  DOCTEST_CHECK(!Test.Channel->misdirected());
+  Bytes = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Answered));
+  Bytes = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n";
+  DOCTEST_CHECK((Test.one("c").Outcome == LeafOutcome::NotRun));
+  DOCTEST_CHECK(Test.Channel->misdirected());
+}
+
+DOCTEST_TEST_CASE("no listener: nothing was sent, and the leaf is set aside") {
+  Fixture Test([](const std::string &, RawLeaf::Peer &) {});
+  {
+    boost::asio::io_context Other;
+    RawLeaf Gone(Other, [](const std::string &, RawLeaf::Peer &) {});
+    Test.Channel->entry().Address = Gone.address();
+  }
+  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::NotSent));
+  DOCTEST_CHECK(!Test.Channel->stats().available(Clock::now()));
+}
+
+DOCTEST_TEST_CASE("an abandoned call is cancelled by closing its connection after "
+                  "a short grace") {
+  Fixture Test([](const std::string &, RawLeaf::Peer &) {});
+  std::vector<LeafAnswer> Answers;
+  const LeafCallPtr Call = Test.call("a", Answers);
+  DOCTEST_REQUIRE(Test.until([&] { return !Test.Leaf.Requests.empty(); }));
+  DOCTEST_CHECK(Test.Channel->abandon(Call));
+  const TimePoint Began = Clock::now();
+  DOCTEST_CHECK(Test.until([&] { return Test.Leaf.Closed == 1; }));
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(500));
+  DOCTEST_CHECK(Answers.empty());
+}
+
+DOCTEST_TEST_CASE("a retired leaf gets no new call; those sent go on") {
+  RawLeaf::Peer *Held = nullptr;
+  std::string HeldHead;
+  Fixture Test([&](const std::string &Head, RawLeaf::Peer &To) {
+    Held = &To;
+    HeldHead = Head;
+  });
+  std::vector<LeafAnswer> Answers;
+  Test.call("a", Answers);
+  DOCTEST_REQUIRE(Test.until([&] { return Held != nullptr; }));
+  Test.Channel->retire("leaving");
+  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::NotSent));
+  Held->write(RawLeaf::answer(HeldHead, "late"));
+  DOCTEST_CHECK(Test.until([&] { return !Answers.empty(); }));
+  DOCTEST_CHECK((Answers[0].Outcome == LeafOutcome::Answered));
+}
+
+DOCTEST_TEST_CASE("headers of one connection are dropped, all others kept") {
+  HttpRequest Http;
+  Http.Method = "POST";
+  Http.Target = "/a//b?x=%20";
+  Http.Headers.add("Host", "h.example");
+  Http.Headers.add("Connection", "close, X-Hop");
+  Http.Headers.add("X-Hop", "1");
+  Http.Headers.add("Keep-Alive", "timeout=5");
+  Http.Headers.add("Transfer-Encoding", "chunked");
+  Http.Headers.add("X-Deadline", "900");
+  Http.Headers.add("Accept", "a");
+  Http.Headers.add("Accept", "b");
+  Http.Body = "12345";
+  const TimePoint Now{Seconds(100)};
+  const LeafRequest Request(Http, TestNames, Now + Milliseconds(700));
+  DOCTEST_CHECK(Request.bytes("i-1", Now + Milliseconds(200)) ==
+                "POST /a//b?x=%20 HTTP/1.1\r\nHost: h.example\r\nAccept: a\r\n"
+                "Accept: b\r\nContent-Length: 5\r\nX-Leaf: i-1\r\n"
+                "X-Deadline: 500\r\n\r\n12345");
+}
--- /dev/null
+++ b/test/Gateway/RequestChainTest.cpp
@@ -0,0 +1,364 @@
+#include "RawLeaf.h"
+#include "citronlever/Gateway"
+
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+using namespace citronlever;
+
+namespace {
+
+/// A gateway with callers and leaves on loopback.
+struct Fixture {
+  boost::asio::io_context Io;
+  LeafFleet Fleet{Io, TestNames, {"d1", {0.2, 1000, Seconds(10)}, {}}};
+  LoopDelay Delay;
+  RunContext Context{Io, TestNames, Fleet, Delay, {}, {}, {}};
+  CurrentRoutes Routes;
+  RequestChain Chain{Context, Routes};
+  CallerServer Callers{
+      Io,
+      [this](CallerRequestPtr Request, AnswerCaller Answer) {
+        return this->Chain.serve(std::move(Request), std::move(Answer));
+      },
+      [] {
+        CallerLimits Limits;
+        Limits.MaxBodyBytes = 100;
+        Limits.MaxHeaderBytes = 1000;
+        Limits.HeaderTimeout = Milliseconds(100);
+        return Limits;
+      }};
+  LeafRegistry Registry;
+  std::vector<std::unique_ptr<RawLeaf>> Leaves;
+  Endpoint Address;
+
+  Fixture() {
+    boost::asio::ip::tcp::acceptor Free(
+        this->Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    this->Address = {"127.0.0.1", Free.local_endpoint().port()};
+    Free.close();
+    this->Callers.listen(this->Address);
+  }
+
+  RawLeaf &leaf(const std::string &Service, RawLeaf::Serving Serve) {
+    this->Leaves.push_back(
+        std::make_unique<RawLeaf>(this->Io, std::move(Serve)));
+    LeafEntry Entry;
+    Entry.Id = "leaf-" + std::to_string(this->Leaves.size());
+    Entry.Service = Service;
+    Entry.Domain = "d1";
+    Entry.Address = this->Leaves.back()->address();
+    this->Registry.put(Entry, Clock::now());
+    return *this->Leaves.back();
+  }
+
+  void routes(Route Of) {
+    Of.Name = "r";
+    Of.Host = "h.example";
+    Of.PathPrefix = "/p/";
+    std::vector<ServiceSpec> Services;
+    for (const char *Name : {"a", "b", "c"})
+      Services.push_back({Name, "/health", 20, 0});
+    this->Routes.offer(std::make_shared<const RouteTable>(
+        1, std::vector<Route>{Of}, Services, CallerLimits{}));
+    this->Fleet.update(this->Registry, this->Routes.get(), {}, 1, Clock::now());
+    this->grantExtraSends();
+  }
+
+  /// A window must have gone by before the slack is used.
+  void grantExtraSends() {
+    for (const char *Name : {"a", "b", "c"})
+      for (int At = 0; At < 100; ++At)
+        this->Fleet.extraSends(Name).request(Clock::now());
+  }
+
+  template <class Condition> bool until(Condition Holds) {
+    const TimePoint End = Clock::now() + Seconds(5);
+    while (!Holds() && Clock::now() < End)
+      this->Io.run_for(Milliseconds(2));
+    return Holds();
+  }
+
+  static std::string request(const std::string &Path,
+                             const std::string &More = {}) {
+    return "GET " + Path + " HTTP/1.1\r\nHost: h.example\r\nX-Id: q1\r\n" +
+           More + "\r\n";
+  }
+
+  /// Sends bytes as a caller. \returns all that came until the answer is whole
+  /// or the connection ends.
+  std::string ask(const std::string &Bytes) {
+    boost::asio::ip::tcp::socket Socket(this->Io);
+    Socket.connect({boost::asio::ip::make_address("127.0.0.1"),
+                    this->Address.Port});
+    boost::asio::write(Socket, boost::asio::buffer(Bytes));
+    std::string Got;
+    std::array<char, 4096> Chunk{};
+    bool Ended = false;
+    std::function<void()> Read = [&] {
+      Socket.async_read_some(boost::asio::buffer(Chunk),
+                             [&](auto Failure, std::size_t Size) {
+                               Ended = static_cast<bool>(Failure);
+                               Got.append(Chunk.data(), Size);
+                               if (!Ended)
+                                 Read();
+                             });
+    };
+    Read();
+    this->until([&] { return Ended || whole(Got); });
+    boost::system::error_code Ignored;
+    Socket.close(Ignored);
+    this->until([&] { return Ended; });
+    return Got;
+  }
+
+  static bool whole(const std::string &Got) {
+    const std::size_t End = Got.find("\r\n\r\n");
+    if (End == std::string::npos)
+      return false;
+    const std::string Length = RawLeaf::field(Got, "Content-Length");
+    return !Length.empty() &&
+           Got.size() >= End + 4 + static_cast<std::size_t>(std::stoi(Length));
+  }
+};
+
+int status(const std::string &Got) {
+  return Got.size() < 12 ? 0 : std::stoi(Got.substr(9, 3));
+}
+
+std::string body(const std::string &Got) {
+  return Got.substr(Got.find("\r\n\r\n") + 4);
+}
+
+Route forward(RequestKind Kind, int Attempts = 2) {
+  Route Result;
+  Result.Kind = Kind;
+  Result.Attempts = Attempts;
+  Result.Targets = {{"a", 1}};
+  Result.Timeout = Milliseconds(1500);
+  Result.LatencyObjective = Milliseconds(400);
+  return Result;
+}
+
+Route scatter() {
+  Route Result = forward(RequestKind::Idempotent);
+  Result.Targets.clear();
+  Result.Shards = {"a", "b", "c"};
+  Result.TopRecords = 2;
+  Result.LeastCoverage = 0.6;
+  Result.LatencyObjective = Milliseconds(150);
+  return Result;
+}
+
+RawLeaf::Serving answers(std::string Body) {
+  return [Body](const std::string &Head, RawLeaf::Peer &To) {
+    To.write(RawLeaf::answer(Head, Body));
+  };
+}
+
+RawLeaf::Serving fails() {
+  return [](const std::string &, RawLeaf::Peer &To) { To.reset(); };
+}
+
+void silent(const std::string &, RawLeaf::Peer &) {}
+
+} // namespace
+
+DOCTEST_TEST_CASE("a process that knows no configuration says not run, not 404") {
+  Fixture Test;
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(status(Got) == 503);
+  DOCTEST_CHECK(!RawLeaf::field(Got, "Retry-After").empty());
+}
+
+DOCTEST_TEST_CASE("what callers may not send gets its own status") {
+  Fixture Test;
+  Test.routes(forward(RequestKind::Idempotent));
+  DOCTEST_CHECK(status(Test.ask(Fixture::request("/q/x"))) == 404);
+  DOCTEST_CHECK(
+      status(Test.ask(Fixture::request("/p/x", "X-Deadline: soon\r\n"))) == 400);
+  DOCTEST_CHECK(status(Test.ask(Fixture::request(
+                    "/p/x", "X-Long: " + std::string(2000, 'x') + "\r\n"))) ==
+                431);
+  DOCTEST_CHECK(status(Test.ask(Fixture::request(
+                    "/p/x", "Content-Length: 200\r\n"))) == 413);
+  DOCTEST_CHECK(status(Test.ask("nonsense\r\n\r\n")) == 400);
+  DOCTEST_CHECK(status(Test.ask("GET /p/x HT")) == 408);
+  DOCTEST_CHECK(
+      status(Test.ask(Fixture::request(
+          "/p/x", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n"))) ==
+      400);
+}
+
+DOCTEST_TEST_CASE("a leaf's answer is passed on byte for byte") {
+  Fixture Test;
+  Test.leaf("a", answers("bytes"));
+  Test.routes(forward(RequestKind::NonIdempotent));
+  const std::string Got = Test.ask(Fixture::request("/p/x?y"));
+  DOCTEST_CHECK(status(Got) == 200);
+  DOCTEST_CHECK(body(Got) == "bytes");
+  DOCTEST_CHECK(RawLeaf::field(Got, "X-Signature") == "sig-byte");
+  DOCTEST_CHECK(Test.Leaves[0]->Requests[0].starts_with("GET /p/x?y HTTP/1.1"));
+}
+
+DOCTEST_TEST_CASE("a non-idempotent request that may have run is not repeated") {
+  Fixture Test;
+  Test.leaf("a", fails());
+  Test.leaf("a", fails());
+  Test.routes(forward(RequestKind::NonIdempotent));
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(status(Got) == 502);
+  DOCTEST_CHECK(Test.Leaves[0]->Requests.size() +
+                    Test.Leaves[1]->Requests.size() ==
+                1);
+}
+
+DOCTEST_TEST_CASE("a leaf's 503 that does not say 'not run' promises nothing") {
+  Fixture Test;
+  Test.leaf("a", [](const std::string &, RawLeaf::Peer &To) {
+    To.write("HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n");
+  });
+  Test.routes(forward(RequestKind::NonIdempotent));
+  DOCTEST_CHECK(status(Test.ask(Fixture::request("/p/x"))) == 502);
+}
+
+DOCTEST_TEST_CASE("a non-idempotent request that was refused goes to another leaf") {
+  Fixture Test;
+  const auto Full = [](const std::string &, RawLeaf::Peer &To) {
+    To.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  Test.leaf("a", Full);
+  Test.leaf("a", answers("good"));
+  Test.routes(forward(RequestKind::NonIdempotent));
+  for (int At = 0; At < 4; ++At)
+    DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
+}
+
+DOCTEST_TEST_CASE("all leaves refuse: not run, at once, with a time to return") {
+  Fixture Test;
+  Test.leaf("a", [](const std::string &, RawLeaf::Peer &To) {
+    To.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+  });
+  Test.routes(forward(RequestKind::NonIdempotent));
+  const TimePoint Began = Clock::now();
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(status(Got) == 503);
+  DOCTEST_CHECK(std::stod(RawLeaf::field(Got, "Retry-After")) > 0);
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(300));
+}
+
+DOCTEST_TEST_CASE("idempotent: lost answers are asked for again, also at a leaf "
+                  "that was asked before") {
+  Fixture Test;
+  int Left = 2;
+  Test.leaf("a", [&](const std::string &Head, RawLeaf::Peer &To) {
+    if (Left-- > 0)
+      To.reset();
+    else
+      To.write(RawLeaf::answer(Head, "good"));
+  });
+  Test.routes(forward(RequestKind::Idempotent));
+  DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
+}
+
+DOCTEST_TEST_CASE("idempotent: a silent leaf costs a hedge, not the time-out") {
+  Fixture Test;
+  Test.leaf("a", silent);
+  Test.leaf("a", answers("good"));
+  Test.routes(forward(RequestKind::Idempotent));
+  for (int At = 0; At < 4; ++At) {
+    const TimePoint Began = Clock::now();
+    DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
+    DOCTEST_CHECK(Clock::now() - Began < Milliseconds(400));
+  }
+}
+
+DOCTEST_TEST_CASE("the route's time-out ends a request with a final answer") {
+  Fixture Test;
+  Test.leaf("a", silent);
+  Route Of = forward(RequestKind::NonIdempotent);
+  Of.Timeout = Milliseconds(200);
+  Test.routes(Of);
+  const TimePoint Began = Clock::now();
+  DOCTEST_CHECK(status(Test.ask(Fixture::request("/p/x"))) == 504);
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(400));
+}
+
+DOCTEST_TEST_CASE("the parts of all shards are merged, each once") {
+  Fixture Test;
+  Test.leaf("a", answers(std::string(16, 'a')));
+  Test.leaf("b", answers(std::string(16, 'b')));
+  Test.leaf("c", answers(std::string(16, 'c')));
+  Test.routes(scatter());
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(status(Got) == 200);
+  DOCTEST_CHECK(RawLeaf::field(Got, "X-Missing") == "0");
+  DOCTEST_CHECK(body(Got) == std::string(16, 'c') + std::string(16, 'b'));
+}
+
+DOCTEST_TEST_CASE("a silent shard is left out by the objective, and counted") {
+  Fixture Test;
+  Test.leaf("a", answers(std::string(16, 'a')));
+  Test.leaf("b", silent);
+  Test.leaf("c", answers(std::string(16, 'c')));
+  Test.routes(scatter());
+  const TimePoint Began = Clock::now();
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(150));
+  DOCTEST_CHECK(RawLeaf::field(Got, "X-Missing") == "1");
+  DOCTEST_CHECK(RawLeaf::field(Got, "X-Parts") == "sig-aaaa, sig-cccc");
+}
+
+DOCTEST_TEST_CASE("a coverage that can't be reached is given up at once") {
+  Fixture Test;
+  Test.leaf("a", answers(std::string(16, 'a')));
+  Test.routes(scatter());
+  const TimePoint Began = Clock::now();
+  DOCTEST_CHECK(status(Test.ask(Fixture::request("/p/x"))) >= 500);
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(100));
+}
+
+DOCTEST_TEST_CASE("a caller who leaves ends the calls to leaves") {
+  Fixture Test;
+  RawLeaf &Leaf = Test.leaf("a", silent);
+  Test.routes(forward(RequestKind::Idempotent, 1));
+  {
+    boost::asio::ip::tcp::socket Socket(Test.Io);
+    Socket.connect(
+        {boost::asio::ip::make_address("127.0.0.1"), Test.Address.Port});
+    boost::asio::write(Socket, boost::asio::buffer(Fixture::request("/p/x")));
+    DOCTEST_REQUIRE(Test.until([&] { return !Leaf.Requests.empty(); }));
+  }
+  const TimePoint Left = Clock::now();
+  DOCTEST_CHECK(Test.until([&] { return Leaf.Closed == 1; }));
+  DOCTEST_CHECK(Clock::now() - Left < Milliseconds(500));
+  DOCTEST_CHECK(Test.Context.Counters.CallersGone == 1);
+}
+
+DOCTEST_TEST_CASE("a draining server answers and asks to close the connection") {
+  Fixture Test;
+  Test.leaf("a", answers("good"));
+  Test.routes(forward(RequestKind::Idempotent));
+  Test.Callers.drain();
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(body(Got) == "good");
+  DOCTEST_CHECK(RawLeaf::field(Got, "Connection") == "close");
+}
+
+DOCTEST_TEST_CASE("a leaf that drains, is gone or is closed off gets no call") {
+  Fixture Test;
+  RawLeaf &Old = Test.leaf("a", answers("old"));
+  Test.routes(forward(RequestKind::Idempotent));
+  DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "old");
+  Test.leaf("a", answers("new"));
+  Test.Fleet.update(Test.Registry, Test.Routes.get(), {"d1"}, 1, Clock::now());
+  DOCTEST_CHECK(status(Test.ask(Fixture::request("/p/x"))) == 503);
+  LeafEntry Draining = *Test.Registry.find("leaf-1");
+  Draining.Draining = true;
+  Test.Registry.put(Draining, Clock::now());
+  Test.Fleet.update(Test.Registry, Test.Routes.get(), {}, 1, Clock::now());
+  const std::size_t Before = Old.Requests.size();
+  for (int At = 0; At < 5; ++At)
+    DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "new");
+  DOCTEST_CHECK(Old.Requests.size() == Before);
+}
--- /dev/null
+++ b/test/Registry/FakeKeyStore.h
@@ -0,0 +1,174 @@
+#pragma once
+
+#include "citronlever/src/Registry/KeyStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace citronlever {
+
+/// A store in memory whose answers tests can refuse, hold back or lose.
+class FakeKeyStore final : public KeyStore {
+public:
+  explicit FakeKeyStore(boost::asio::io_context &Io) : Io(Io) {}
+
+  void put(const std::string &Key, const std::string &Value,
+           std::uint64_t Lease = 0) {
+    this->Items[Key] = {Key, Value, ++this->Revision, false};
+    this->Leases[Key] = Lease;
+    this->History.push_back(this->Items[Key]);
+    this->serveWatches();
+  }
+
+  void erase(const std::string &Key) {
+    this->Items.erase(Key);
+    this->History.push_back({Key, {}, ++this->Revision, true});
+    this->serveWatches();
+  }
+
+  /// Forgets what changed, so that watches of before get HistoryGone.
+  void dropHistory() {
+    this->History.clear();
+    this->Floor = this->Revision;
+  }
+
+  /// Ends a lease and removes its keys.
+  void lapse(std::uint64_t Lease) {
+    std::vector<std::string> Keys;
+    for (const auto &[Key, Owner] : this->Leases)
+      if (Owner == Lease && this->Items.contains(Key))
+        Keys.push_back(Key);
+    for (const std::string &Key : Keys)
+      this->erase(Key);
+    this->Ended.push_back(Lease);
+  }
+
+  void range(const std::string &Prefix, const std::string &After,
+             ThenItems Then) override {
+    ++this->Count.Reads;
+    StoreItems Page;
+    Page.Status = this->Down ? StoreStatus::Refused : StoreStatus::Done;
+    Page.AsOf = this->Revision;
+    for (const auto &[Key, Item] : this->Items) {
+      if (this->Down || !Key.starts_with(Prefix) || Key <= After)
+        continue;
+      if (Page.Items.size() == this->PageSize) {
+        Page.MorePages = true;
+        break;
+      }
+      Page.Items.push_back(Item);
+    }
+    this->post([Then, Page] { Then(Page); });
+  }
+
+  void watch(const std::string &Prefix, std::uint64_t After, Duration Wait,
+             ThenItems Then) override {
+    ++this->Count.Watches;
+    this->LastWait = Wait;
+    if (this->Down || After < this->Floor) {
+      StoreItems Failed;
+      Failed.Status =
+          this->Down ? StoreStatus::Refused : StoreStatus::HistoryGone;
+      this->post([Then, Failed] { Then(Failed); });
+      return;
+    }
+    this->Watches.push_back({Prefix, After, std::move(Then)});
+    this->serveWatches();
+  }
+
+  /// Waiting watches fail, as when their connections are cut.
+  void cutWatches() {
+    for (const Watch &Cut : std::exchange(this->Watches, {}))
+      this->post([Then = Cut.Then] { Then({}); });
+  }
+
+  void write(StoreWrite Write, ThenReply Then) override {
+    ++this->Count.Writes;
+    StoreReply Reply;
+    Reply.Status = StoreStatus::Done;
+    if (this->Down)
+      Reply.Status = StoreStatus::Refused;
+    else if (Write.Lease != 0 &&
+             std::ranges::find(this->Ended, Write.Lease) != this->Ended.end())
+      Reply.Status = StoreStatus::Absent;
+    else
+      this->put(Write.Key, Write.Value, Write.Lease);
+    this->post([Then, Reply] { Then(Reply); });
+  }
+
+  void grantLease(Duration TimeToLive, ThenReply Then) override {
+    ++this->Count.Writes;
+    StoreReply Reply;
+    Reply.Status = this->Down ? StoreStatus::Refused : StoreStatus::Done;
+    Reply.Lease = ++this->LastLease;
+    Reply.TimeToLive = TimeToLive;
+    this->post([Then, Reply] { Then(Reply); });
+  }
+
+  void renewLease(std::uint64_t Lease, ThenReply Then) override {
+    ++this->Count.Renewals;
+    StoreReply Reply;
+    Reply.Status = StoreStatus::Done;
+    if (this->Down)
+      Reply.Status = StoreStatus::Refused;
+    else if (std::ranges::find(this->Ended, Lease) != this->Ended.end())
+      Reply.Status = StoreStatus::Absent;
+    this->post([Then, Reply] { Then(Reply); });
+  }
+
+  void endLease(std::uint64_t Lease, ThenReply Then) override {
+    this->lapse(Lease);
+    this->post([Then] { Then({StoreStatus::Done, 0, 0, {}, {}}); });
+  }
+
+  StoreCalls calls() const override { return this->Count; }
+
+  std::map<std::string, StoreItem> Items;
+  std::uint64_t Revision = 10;
+  std::uint64_t LastLease = 0;
+  std::size_t PageSize = 3;
+  Duration LastWait{};
+  bool Down = false;
+
+private:
+  struct Watch {
+    std::string Prefix;
+    std::uint64_t After;
+    ThenItems Then;
+  };
+
+  template <class Function> void post(Function Run) {
+    boost::asio::post(this->Io, std::move(Run));
+  }
+
+  void serveWatches() {
+    std::erase_if(this->Watches, [this](const Watch &Waiting) {
+      StoreItems Changes;
+      for (const StoreItem &Item : this->History)
+        if (Item.Revision > Waiting.After &&
+            Item.Key.starts_with(Waiting.Prefix))
+          Changes.Items.push_back(Item);
+      if (Changes.Items.empty())
+        return false;
+      Changes.Status = StoreStatus::Done;
+      Changes.AsOf = this->Revision;
+      this->post([Then = Waiting.Then, Changes] { Then(Changes); });
+      return true;
+    });
+  }
+
+  boost::asio::io_context &Io;
+  StoreCalls Count;
+  std::map<std::string, std::uint64_t> Leases;
+  std::vector<std::uint64_t> Ended;
+  std::vector<StoreItem> History;
+  std::vector<Watch> Watches;
+  std::uint64_t Floor = 0;
+};
+
+} // namespace citronlever
--- /dev/null
+++ b/test/Registry/StoreMirrorTest.cpp
@@ -0,0 +1,67 @@
+#include "citronlever/Registry"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+using namespace citronlever;
+
+DOCTEST_TEST_CASE("an older write never replaces a newer one or a removal") {
+  std::vector<std::string> Told;
+  StoreMirror Mirror([&](const StoreItem &Item) {
+    Told.push_back(Item.Key + (Item.Removed ? "-" : "=" + Item.Value));
+  });
+  Mirror.apply({"k", "new", 7, false});
+  Mirror.apply({"k", "old", 6, false});
+  Mirror.apply({"k", "", 8, true});
+  Mirror.apply({"k", "late", 7, false});
+  DOCTEST_CHECK(Mirror.find("k") == nullptr);
+  Mirror.apply({"k", "again", 9, false});
+  DOCTEST_CHECK(Told == std::vector<std::string>{"k=new", "k-", "k=again"});
+}
+
+DOCTEST_TEST_CASE("a removal in a gap shows in the next whole read") {
+  std::vector<std::string> Removed;
+  StoreMirror Mirror([&](const StoreItem &Item) {
+    if (Item.Removed)
+      Removed.push_back(Item.Key);
+  });
+  Mirror.apply({"a/1", "x", 3, false});
+  Mirror.apply({"a/2", "x", 4, false});
+  Mirror.apply({"b/1", "x", 5, false});
+  Mirror.beginRead("a/", 9);
+  Mirror.readItem({"a/2", "x", 4, false});
+  Mirror.apply({"a/3", "written meanwhile", 10, false});
+  Mirror.endRead();
+  DOCTEST_CHECK(Removed == std::vector<std::string>{"a/1"});
+  DOCTEST_CHECK(Mirror.find("a/3") != nullptr);
+  DOCTEST_CHECK(Mirror.find("b/1") != nullptr);
+}
+
+DOCTEST_TEST_CASE("any order of changes ends in the same state") {
+  const unsigned Seed = 77;
+  DOCTEST_INFO("seed " << Seed);
+  std::mt19937 Random(Seed);
+  for (int Round = 0; Round < 100; ++Round) {
+    std::vector<StoreItem> Changes;
+    std::map<std::string, StoreItem> Truth;
+    for (std::uint64_t Revision = 1; Revision <= 30; ++Revision) {
+      StoreItem Item{"k" + std::to_string(Random() % 5),
+                     std::to_string(Revision), Revision, Random() % 4 == 0};
+      Truth[Item.Key] = Item;
+      Changes.push_back(Item);
+    }
+    std::shuffle(Changes.begin(), Changes.end(), Random);
+    StoreMirror Mirror([](const StoreItem &) {});
+    for (const StoreItem &Item : Changes)
+      Mirror.apply(Item);
+    for (const auto &[Key, Item] : Truth) {
+      const StoreItem *Known = Mirror.find(Key);
+      DOCTEST_CHECK((Known == nullptr) == Item.Removed);
+      if (Known)
+        DOCTEST_CHECK(Known->Value == Item.Value);
+    }
+  }
+}
--- /dev/null
+++ b/test/Routing/RouteTableTest.cpp
@@ -0,0 +1,121 @@
+#include "citronlever/Routing"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace citronlever;
+
+namespace {
+
+Route route(std::string Name, std::string Host, std::string Prefix) {
+  Route Result;
+  Result.Name = std::move(Name);
+  Result.Host = std::move(Host);
+  Result.PathPrefix = std::move(Prefix);
+  Result.Targets = {{"service", 1}};
+  return Result;
+}
+
+RouteTablePtr table(std::uint64_t Version, std::vector<Route> Routes) {
+  return std::make_shared<const RouteTable>(
+      Version, std::move(Routes), std::vector<ServiceSpec>{}, CallerLimits{});
+}
+
+std::string found(const RouteTable &Table, std::string_view Host,
+                  std::string_view Path) {
+  const Route *Match = Table.match(Host, Path);
+  return Match ? Match->Name : "";
+}
+
+/// The rule as it is stated, without an index.
+std::string naive(const RouteTable &Table, std::string_view Host,
+                  std::string_view Path) {
+  const Route *Best = nullptr;
+  for (const Route &Entry : Table.routes())
+    if (Entry.Host == Host && Path.starts_with(Entry.PathPrefix) &&
+        (!Best || Entry.PathPrefix.size() > Best->PathPrefix.size()))
+      Best = &Entry;
+  return Best ? Best->Name : "";
+}
+
+std::string randomPath(std::mt19937 &Random) {
+  static constexpr std::string_view Letters = "ab/";
+  std::string Path = "/";
+  const auto Size = Random() % 8;
+  for (unsigned At = 0; At < Size; ++At)
+    Path += Letters[Random() % Letters.size()];
+  return Path;
+}
+
+} // namespace
+
+DOCTEST_TEST_CASE("the longest prefix of the host wins") {
+  const auto Table = table(1, {route("short", "h.example", "/a/"),
+                               route("long", "h.example", "/a/b/"),
+                               route("other", "g.example", "/a/b/c/")});
+  DOCTEST_CHECK(found(*Table, "h.example", "/a/b/c/d") == "long");
+  DOCTEST_CHECK(found(*Table, "h.example", "/a/x") == "short");
+  DOCTEST_CHECK(found(*Table, "h.example", "/a/bb") == "short");
+  DOCTEST_CHECK(found(*Table, "h.example", "/a") == "");
+  DOCTEST_CHECK(found(*Table, "f.example", "/a/b/") == "");
+}
+
+DOCTEST_TEST_CASE("a host's port and case do not matter") {
+  const auto Table = table(1, {route("r", "H.example", "/")});
+  DOCTEST_CHECK(found(*Table, "h.EXAMPLE:8104", "/x") == "r");
+}
+
+DOCTEST_TEST_CASE("the index finds what a scan over all routes finds") {
+  const unsigned Seed = 20261204;
+  DOCTEST_INFO("seed " << Seed);
+  std::mt19937 Random(Seed);
+  for (int Round = 0; Round < 200; ++Round) {
+    std::vector<Route> Routes;
+    for (int At = 0; At < 12; ++At) {
+      std::string Prefix = randomPath(Random);
+      if (Prefix.back() != '/')
+        Prefix += '/';
+      // A later route of the same prefix replaces an earlier one.
+      std::erase_if(Routes, [&](const Route &Entry) {
+        return Entry.PathPrefix == Prefix;
+      });
+      Routes.push_back(route("r" + std::to_string(At), "h", Prefix));
+    }
+    const auto Table = table(1, std::move(Routes));
+    const std::string Path = randomPath(Random);
+    DOCTEST_CHECK(found(*Table, "h", Path) == naive(*Table, "h", Path));
+  }
+}
+
+DOCTEST_TEST_CASE("an older version never replaces a newer one") {
+  CurrentRoutes Current;
+  DOCTEST_CHECK(Current.get() == nullptr);
+  DOCTEST_CHECK(Current.offer(table(5, {})));
+  DOCTEST_CHECK(!Current.offer(table(4, {})));
+  DOCTEST_CHECK(!Current.offer(table(5, {})));
+  DOCTEST_CHECK(Current.get()->version() == 5);
+  DOCTEST_CHECK(Current.offer(table(9, {})));
+}
+
+DOCTEST_TEST_CASE("every run of requests is close to the weights") {
+  const std::vector<WeightedService> Targets = {{"a", 7}, {"b", 2}, {"c", 1}};
+  WeightRotation Rotation(0.95);
+  std::map<std::string, int> Count;
+  for (int At = 1; At <= 300; ++At) {
+    ++Count[Rotation.next(Targets).Name];
+    for (const WeightedService &Target : Targets)
+      DOCTEST_CHECK(std::abs(Count[Target.Name] - At * Target.Weight / 10) < 2);
+  }
+}
+
+DOCTEST_TEST_CASE("many processes with one request each keep the weights") {
+  const std::vector<WeightedService> Targets = {{"a", 3}, {"b", 1}};
+  int Light = 0;
+  for (int Process = 0; Process < 1000; ++Process) {
+    WeightRotation Rotation(Process / 1000.0);
+    if (Rotation.next(Targets).Name == "b")
+      ++Light;
+  }
+  DOCTEST_CHECK(Light == 250);
+}
