Prefer the leaves of one's own failure domain more, hedge a little later

Cause: bytes between failure domains and 0.9 ms each way were weighed as little as the noise among replicas; hedges at the 92nd percentile repeated calls that were about to end.

--- a/citronlever/src/Dispatch/RouteFigures.h
+++ b/citronlever/src/Dispatch/RouteFigures.h
@@ -39,7 +39,7 @@
   /// While nothing has been measured, a call is taken to last this part of the
   /// objective.
   static constexpr int UnknownPart = 6;
-  static constexpr double HedgeQuantile = 0.92;
+  static constexpr double HedgeQuantile = 0.95;
   static constexpr Duration LeastHedge = Milliseconds(8);
   static constexpr Duration TailPeriod = Seconds(3);
 
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -13,7 +13,7 @@
 /// Cost of waiting until another call ends.
 constexpr double SaturatedCost = 2;
 /// Cost of bytes between failure domains and of the longer way.
-constexpr double OtherDomainCost = 0.15;
+constexpr double OtherDomainCost = 0.6;
 /// Replicas of equal cost are used alike.
 constexpr double Spread = 0.1;
 
