--- a/citronlever/src/Dispatch/ReplicaStats.cpp
+++ b/citronlever/src/Dispatch/ReplicaStats.cpp
@@ -129,6 +129,13 @@
   return std::max(Own, Reported);
 }
 
+std::optional<double> ReplicaStats::reportedQueue(TimePoint Now) const {
+  if (this->LoadAt == TimePoint{} || Now - this->LoadAt > QueueFresh)
+    return std::nullopt;
+  return static_cast<double>(this->Load.Waiting) /
+         std::max(1, this->Load.Slots);
+}
+
 double ReplicaStats::cost(Duration Typical, TimePoint Now) const {
   const double Slots = std::max(1, this->Load.Slots);
   const double Queued = std::max(0.0, this->load(Now) + 1 - Slots);
--- a/citronlever/src/Dispatch/ReplicaStats.h
+++ b/citronlever/src/Dispatch/ReplicaStats.h
@@ -3,6 +3,7 @@
 #include "citronlever/src/Core/Time.h"
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace citronlever {
@@ -44,6 +45,10 @@
 
   void reported(ReportedLoad Load, TimePoint Now);
 
+  /// \returns how many requests waited there, in parts of its slots, if the
+  /// leaf said so within the last QueueFresh.
+  std::optional<double> reportedQueue(TimePoint Now) const;
+
   /// \returns the expected cost of one more call, 1 for an idle, sound leaf.
   /// \p Typical of the kind of request that is to be sent.
   double cost(Duration Typical, TimePoint Now) const;
@@ -64,6 +69,8 @@
 
   std::size_t outstanding() const { return this->Calls.size(); }
 
+  /// Age up to which a reported queue is taken for the present one.
+  static constexpr Duration QueueFresh = Milliseconds(200);
   /// Time between copies to a leaf that is not chosen.
   static constexpr Duration ProbePeriod = Milliseconds(700);
 
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -133,6 +133,19 @@
   return nullptr;
 }
 
+double LeafFleet::meanQueue(std::span<const std::string> Names,
+                            TimePoint Now) {
+  double Sum = 0;
+  int Count = 0;
+  for (const std::string &Service : Names)
+    for (const LeafChannelPtr &Channel : this->replicas(Service))
+      if (const auto Queue = Channel->stats().reportedQueue(Now)) {
+        Sum += *Queue;
+        ++Count;
+      }
+  return Count == 0 ? 0 : Sum / Count;
+}
+
 ExtraSendWindow &LeafFleet::extraSends(std::string_view Service) {
   auto Found = this->Windows.find(Service);
   if (Found == this->Windows.end()) {
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -48,6 +48,10 @@
   LeafChannelPtr probe(std::string_view Service, const LeafChannelPtr &Chosen,
                        TimePoint Now);
 
+  /// \returns how many requests wait at a leaf of \p Services in the mean, in
+  /// parts of its slots, by what leaves said of late; 0 if none did.
+  double meanQueue(std::span<const std::string> Services, TimePoint Now);
+
   ExtraSendWindow &extraSends(std::string_view Service);
   RouteFigures &figures(const Route &Of);
 
--- a/citronlever/src/Gateway/Refusal.cpp
+++ b/citronlever/src/Gateway/Refusal.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <cstdio>
 
 namespace citronlever {
@@ -47,6 +48,15 @@
   return Result;
 }
 
+Duration retryAfterOverload(Duration LatencyObjective, Duration CallerWaits,
+                            double Random) {
+  constexpr int HonouredPart = 3;
+  const Duration First = ReturnMin + LatencyObjective / 4;
+  const Duration Last = std::max(First, CallerWaits / HonouredPart);
+  return First + std::chrono::duration_cast<Duration>(
+                     Random * std::chrono::duration<double>(Last - First));
+}
+
 Duration retryAfter(Duration LatencyObjective, double Random) {
   const Duration Spread = std::chrono::duration_cast<Duration>(
       Random * std::chrono::duration<double>(LatencyObjective));
--- a/citronlever/src/Gateway/Refusal.h
+++ b/citronlever/src/Gateway/Refusal.h
@@ -16,6 +16,14 @@
 /// Ends a request that is not proper or not allowed, with \p Status.
 HttpResponse refusal(int Status, std::string_view Reason);
 
+/// When a caller should come back that found no room. Load pattern: overload
+/// that lasts for seconds; callers honour at most a third of the time that they
+/// have left, and the later they return the likelier there is room.
+/// \param CallerWaits what the caller says that it will wait in all.
+/// \param Random in [0, 1).
+Duration retryAfterOverload(Duration LatencyObjective, Duration CallerWaits,
+                            double Random);
+
 /// When a caller should come back after a refusal. Load pattern: many callers
 /// refused in the same moment, who must not return in the same moment.
 /// \param Random in [0, 1).
--- a/citronlever/src/Gateway/RequestChain.cpp
+++ b/citronlever/src/Gateway/RequestChain.cpp
@@ -1,6 +1,7 @@
 #include "citronlever/src/Gateway/RequestChain.h"
 
 #include "citronlever/src/Core/Event.h"
+#include "citronlever/src/Gateway/AdmissionLine.h"
 #include "citronlever/src/Gateway/Refusal.h"
 
 #include <array>
@@ -101,11 +102,13 @@
     report(Context, Frame, Response);
     Answer(std::move(Response));
   };
-  return Frame.Of->scatters()
-             ? startScatterRun(this->Context, std::move(Spec),
-                               std::move(Reported))
-             : startForwardRun(this->Context, std::move(Spec),
-                               std::move(Reported));
+  auto *Run = Frame.Of->scatters() ? startScatterRun : startForwardRun;
+  return startAdmitted(this->Context, std::move(Spec), std::move(Reported),
+                       [Run, &Context = this->Context](RunSpec Admitted,
+                                                       AnswerCaller Reply) {
+                         return Run(Context, std::move(Admitted),
+                                    std::move(Reply));
+                       });
 }
 
 } // namespace citronlever
--- a/citronlever/src/Gateway/RunContext.h
+++ b/citronlever/src/Gateway/RunContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronlever/src/Core/LoopDelay.h"
+#include "citronlever/src/Dispatch/AdmissionGate.h"
 #include "citronlever/src/Gateway/HeaderNames.h"
 #include "citronlever/src/Gateway/LeafFleet.h"
 #include "citronlever/src/Routing/WeightRotation.h"
@@ -8,6 +9,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <random>
 #include <string>
@@ -23,6 +25,26 @@
   std::uint64_t Failed = 0;
   std::uint64_t Refused = 0;
   std::uint64_t CallersGone = 0;
+  /// Refused since there was no room at the leaves.
+  std::uint64_t TurnedAway = 0;
+};
+
+/// The gate of the services that a route asks, and who waits at it.
+struct ServiceGate {
+  AdmissionGate Decision;
+  std::map<std::uint64_t, std::function<void(bool Admitted)>> Waiting;
+  std::uint64_t LastId = 0;
+
+  /// Tells a waiting request what became of it. \returns whether it was there.
+  bool call(std::uint64_t Id, bool Admitted) {
+    const auto Found = this->Waiting.find(Id);
+    if (Found == this->Waiting.end())
+      return false;
+    const auto Use = std::move(Found->second);
+    this->Waiting.erase(Found);
+    Use(Admitted);
+    return true;
+  }
 };
 
 /// What every request uses. Used on one thread.
@@ -31,10 +53,17 @@
   const HeaderNames &Names;
   LeafFleet &Fleet;
   LoopDelay &Delay;
-  GatewayCounters Counters;
+  GatewayCounters Counters{};
   /// By route name.
-  std::map<std::string, WeightRotation, std::less<>> Rotations;
-  std::minstd_rand Random;
+  std::map<std::string, WeightRotation, std::less<>> Rotations{};
+  std::minstd_rand Random{std::random_device{}()};
+
+  /// By the first service that a route asks.
+  std::map<std::string, ServiceGate, std::less<>> Gates{};
+
+  ServiceGate &gate(const std::string &Service) {
+    return this->Gates[Service];
+  }
 
   double random() {
     return std::uniform_real_distribution<double>(0, 1)(this->Random);
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -13,7 +13,7 @@
   boost::asio::io_context Io;
   LeafFleet Fleet{Io, TestNames, {"d1", {0.2, 1000, Seconds(10)}, {}}};
   LoopDelay Delay;
-  RunContext Context{Io, TestNames, Fleet, Delay, {}, {}, {}};
+  RunContext Context{Io, TestNames, Fleet, Delay};
   CurrentRoutes Routes;
   RequestChain Chain{Context, Routes};
   CallerServer Callers{
@@ -362,3 +362,48 @@
     DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "new");
   DOCTEST_CHECK(Old.Requests.size() == Before);
 }
+
+DOCTEST_TEST_CASE("a request for which there is no room is refused as not run "
+                  "within a quarter of its objective") {
+  Fixture Test;
+  Test.leaf("a", answers("good"));
+  Test.routes(forward(RequestKind::NonIdempotent));
+  AdmissionGate &Gate = Test.Context.gate("a").Decision;
+  while (Gate.tryEnter()) {
+  }
+  const TimePoint Began = Clock::now();
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(status(Got) == 503);
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(100));
+  DOCTEST_CHECK(std::stod(RawLeaf::field(Got, "Retry-After")) > 0);
+  DOCTEST_CHECK(Test.Leaves[0]->Requests.empty());
+  DOCTEST_CHECK(Gate.waiting() == 0);
+  Gate.leave();
+  DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
+  DOCTEST_CHECK(Gate.served() == AdmissionGate::MostServed - 1);
+}
+
+DOCTEST_TEST_CASE("a waiting request is served as soon as there is room, and a "
+                  "caller who leaves meanwhile is forgotten") {
+  Fixture Test;
+  Test.leaf("a", answers("good"));
+  Test.routes(forward(RequestKind::NonIdempotent));
+  AdmissionGate &Gate = Test.Context.gate("a").Decision;
+  while (Gate.tryEnter()) {
+  }
+  {
+    boost::asio::ip::tcp::socket Gone(Test.Io);
+    Gone.connect(
+        {boost::asio::ip::make_address("127.0.0.1"), Test.Address.Port});
+    boost::asio::write(Gone, boost::asio::buffer(Fixture::request("/p/x")));
+    DOCTEST_REQUIRE(Test.until([&] { return Gate.waiting() == 1; }));
+  }
+  DOCTEST_CHECK(Test.until([&] { return Gate.waiting() == 0; }));
+  DOCTEST_CHECK(Test.Leaves[0]->Requests.empty());
+  boost::asio::steady_timer Room(Test.Io, Milliseconds(20));
+  Room.async_wait([&](auto) {
+    Gate.leave();
+    Test.Context.gate("a").call(Gate.next(), true);
+  });
+  DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
+}
