Try suspect leaves by copies, and send callers away from a cut-off domain

Ruled out: detection of dead entries (0.8 s). Change: a leaf that was silent is a first choice only while no sibling is sound; an entry that reaches neither the store, most entries nor 0.7 of the leaves names the entries that it does not hear.

--- a/citronlever/src/Dispatch/AdmissionGate.cpp
+++ b/citronlever/src/Dispatch/AdmissionGate.cpp
@@ -48,8 +48,8 @@
   if (Queue > LongQueue) {
     const std::size_t Used = std::min(this->Limit, this->Served);
     this->Limit = std::max(
-        LeastServed, static_cast<std::size_t>(Decrease *
-                                              static_cast<double>(Used)));
+        LeastServed,
+        static_cast<std::size_t>(Decrease * static_cast<double>(Used)));
     return;
   }
   if (Queue < ShortQueue)
--- a/citronlever/src/Dispatch/ColdGate.h
+++ b/citronlever/src/Dispatch/ColdGate.h
@@ -17,14 +17,15 @@
            TimePoint Now) {
     this->Until = End;
     this->Bounded = PerSecond > 0;
-    this->Bucket.configure(SafeShare * PerSecond /
-                               static_cast<double>(std::max<std::size_t>(
-                                   1, Senders)),
-                           Burst, Now);
+    this->Bucket.configure(
+        SafeShare * PerSecond /
+            static_cast<double>(std::max<std::size_t>(1, Senders)),
+        Burst, Now);
   }
 
   bool mayTake(TimePoint Now) {
-    return Now >= this->Until || !this->Bounded || this->Bucket.tokens(Now) >= 1;
+    return Now >= this->Until || !this->Bounded ||
+           this->Bucket.tokens(Now) >= 1;
   }
 
   /// Counts a call that mayTake() allowed.
--- a/citronlever/src/Dispatch/ReplicaStats.cpp
+++ b/citronlever/src/Dispatch/ReplicaStats.cpp
@@ -23,6 +23,8 @@
 /// Cost of a leaf that fails every call, beside its latency.
 constexpr double FailureCost = 6;
 constexpr int FailuresToExclude = 2;
+/// Cost of a leaf that was silent or unreachable and has not answered since.
+constexpr double SuspectCost = 5;
 constexpr Duration ExcludeMin = Milliseconds(100);
 constexpr int ExcludeMaxDoublings = 4;
 /// Pause after a refusal, in which the queue that caused it shrinks.
@@ -112,14 +114,18 @@
 }
 
 double ReplicaStats::slowness(TimePoint Now) const {
-  return 1 + halved(this->Slowness - 1, Now - this->SampledAt,
-                    SlownessHalfLife);
+  return 1 +
+         halved(this->Slowness - 1, Now - this->SampledAt, SlownessHalfLife);
+}
+
+bool ReplicaStats::suspect() const {
+  return this->FailuresInRow >= FailuresToExclude;
 }
 
 bool ReplicaStats::available(TimePoint Now) const {
   if (this->excluded(Now))
     return false;
-  return this->FailuresInRow < FailuresToExclude || this->Calls.empty();
+  return !this->suspect() || this->Calls.empty();
 }
 
 double ReplicaStats::load(TimePoint Now) const {
@@ -147,7 +153,10 @@
   }
   // A busy leaf is slower even before its slots are full.
   const double Busy = 0.25 * this->load(Now) / Slots;
-  return Speed * (1 + Busy + Queued / Slots) + FailureCost * this->FailureShare;
+  // What is not known to be back is tried by copies while a sibling is sound.
+  const double Doubt = this->suspect() ? SuspectCost : 0;
+  return Speed * (1 + Busy + Queued / Slots) +
+         FailureCost * this->FailureShare + Doubt;
 }
 
 bool ReplicaStats::takeProbe(TimePoint Now) {
--- a/citronlever/src/Dispatch/ReplicaStats.h
+++ b/citronlever/src/Dispatch/ReplicaStats.h
@@ -56,6 +56,10 @@
   /// \returns whether the leaf is set aside after failures.
   bool excluded(TimePoint Now) const { return Now < this->ExcludedUntil; }
 
+  /// \returns whether the leaf was silent or unreachable and has not answered
+  /// since.
+  bool suspect() const;
+
   /// \returns whether a call may be sent: after failures, one at a time shows
   /// whether the leaf is back.
   bool available(TimePoint Now) const;
--- a/citronlever/src/Dispatch/RouteFigures.h
+++ b/citronlever/src/Dispatch/RouteFigures.h
@@ -15,7 +15,8 @@
   explicit RouteFigures(Duration Objective) : Objective(Objective) {}
 
   void answered(Duration Latency, TimePoint Now) {
-    const double Ms = std::chrono::duration<double, std::milli>(Latency).count();
+    const double Ms =
+        std::chrono::duration<double, std::milli>(Latency).count();
     this->Mean.add(Ms);
     this->Tail.add(Ms, Now);
   }
--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -16,6 +16,9 @@
 /// Callers keep an address for some times the directory's time to live; until
 /// then a stopping process goes on accepting.
 constexpr int AddressLives = 3;
+/// A process that reaches neither the store nor this share of the leaves, nor
+/// most members, is itself cut off: callers are better served by the others.
+constexpr double ReachableWhenCutOff = 0.7;
 /// Room in the fleet's limits beside the entries that callers are sent to.
 constexpr std::size_t SpareSenders = 1;
 /// Until the others can have registered too, the fleet's limits are divided by
@@ -47,7 +50,8 @@
     : Io(Context), Settings(std::move(Configured)), Store(Store),
       Changes(Context, Store), Peers(Context, {}, relayHandler(this->Relay)),
       Documents(Documents),
-      Fleet(Context, Names, {this->Settings.Domain, this->Settings.ExtraSends, {}}),
+      Fleet(Context, Names,
+            {this->Settings.Domain, this->Settings.ExtraSends, {}}),
       Runs{Context, Names, this->Fleet, this->Delay},
       Chain(this->Runs, this->Routes),
       Callers(
@@ -154,9 +158,9 @@
   }
   // Members begin with different watchers, so that each serves a like part.
   if (!Peers.empty())
-    std::ranges::rotate(Peers, Peers.begin() +
-                                   static_cast<std::ptrdiff_t>(
-                                       this->Spread % Peers.size()));
+    std::ranges::rotate(
+        Peers, Peers.begin() +
+                   static_cast<std::ptrdiff_t>(this->Spread % Peers.size()));
   this->Changes.setRelays(std::move(Peers));
 }
 
@@ -185,9 +189,8 @@
 std::size_t EdgeNode::senders(TimePoint Now) const {
   const std::vector<FleetMember> Entries = this->entries();
   const std::size_t All = this->Members.sharers(Now);
-  const bool Chosen =
-      std::ranges::find(Entries, this->Settings.Name, &FleetMember::Name) !=
-      Entries.end();
+  const bool Chosen = std::ranges::find(Entries, this->Settings.Name,
+                                        &FleetMember::Name) != Entries.end();
   // Those that callers are not sent to divide the fleet's limits with all.
   if (!Chosen || Entries.size() == this->Members.serving().size())
     return All;
@@ -222,10 +225,10 @@
 void EdgeNode::finishStop(TimePoint Now) {
   const TimePoint Hard =
       this->StopBegan + this->Settings.StopTime - StopReserve;
-  const TimePoint Quiet =
-      std::min(this->StopBegan + AddressLives * this->Settings.DirectoryTimeToLive +
-                   TickPeriod * 4,
-               Hard);
+  const TimePoint Quiet = std::min(
+      this->StopBegan + AddressLives * this->Settings.DirectoryTimeToLive +
+          TickPeriod * 4,
+      Hard);
   if (Now < Quiet)
     return;
   this->Callers.closeIdle();
@@ -247,12 +250,20 @@
                        this->Routes.get()->leastConnectionCap());
 }
 
+bool EdgeNode::cutOff() const {
+  return this->Feed->away() &&
+         this->Fleet.reachableShare(Clock::now()) < ReachableWhenCutOff;
+}
+
 std::vector<std::string> EdgeNode::addresses(std::string_view Domain) const {
-  std::vector<FleetMember> Entries = this->entries();
-  std::erase_if(Entries, [this](const FleetMember &Member) {
-    return this->Probe->silent(Member.Peers);
-  });
-  return addressesFor(Entries, Domain, MaxAddresses);
+  const std::vector<FleetMember> Entries = this->entries();
+  std::vector<FleetMember> Silent;
+  std::vector<FleetMember> Answering;
+  for (const FleetMember &Member : Entries)
+    (this->Probe->silent(Member.Peers) ? Silent : Answering).push_back(Member);
+  if (Silent.size() >= Answering.size() && this->cutOff())
+    return addressesFor(Silent, Domain, MaxAddresses);
+  return addressesFor(Answering, Domain, MaxAddresses);
 }
 
 std::vector<std::pair<std::string, double>> EdgeNode::figures() const {
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -70,6 +70,7 @@
   void chooseProbes();
   /// \returns the members to which callers are sent.
   std::vector<FleetMember> entries() const;
+  bool cutOff() const;
   /// \returns how many processes divide the fleet's limits with this one.
   std::size_t senders(TimePoint Now) const;
   void refresh(TimePoint Now);
--- a/citronlever/src/Gateway/AdmissionLine.cpp
+++ b/citronlever/src/Gateway/AdmissionLine.cpp
@@ -73,11 +73,11 @@
         this->Spec.CallerWaits <
         std::chrono::duration_cast<Duration>(Of.Timeout * ReturningPart);
     this->Place.AnswerBy = this->Spec.Request->Received + Of.LatencyObjective;
-    this->Gate.Waiting[this->Place.Id] = [Weak = this->weak_from_this()](
-                                             bool Admitted) {
-      if (const auto Self = Weak.lock())
-        Self->called(Admitted);
-    };
+    this->Gate.Waiting[this->Place.Id] =
+        [Weak = this->weak_from_this()](bool Admitted) {
+          if (const auto Self = Weak.lock())
+            Self->called(Admitted);
+        };
     this->Keep = this->shared_from_this();
     this->Timer.arm(Now + std::chrono::duration_cast<Duration>(
                               Of.LatencyObjective * WaitPart),
@@ -166,8 +166,8 @@
 
 std::shared_ptr<RequestRun> startAdmitted(RunContext &Context, RunSpec Spec,
                                           AnswerCaller Answer, StartRun Start) {
-  auto Run = std::make_shared<AdmittedRun>(
-      Context, std::move(Spec), std::move(Answer), std::move(Start));
+  auto Run = std::make_shared<AdmittedRun>(Context, std::move(Spec),
+                                           std::move(Answer), std::move(Start));
   Run->begin();
   return Run;
 }
--- a/citronlever/src/Gateway/ForwardRun.cpp
+++ b/citronlever/src/Gateway/ForwardRun.cpp
@@ -17,9 +17,9 @@
 
   void start() {
     const TimePoint Now = Clock::now();
-    auto Request = std::make_shared<LeafRequest>(
-        this->Spec.Request->Http, this->Context.Names,
-        this->Times.LeafDeadline);
+    auto Request = std::make_shared<LeafRequest>(this->Spec.Request->Http,
+                                                 this->Context.Names,
+                                                 this->Times.LeafDeadline);
     this->Call = std::make_shared<ReplicaCall>(
         this->Context.Fleet, *this->Spec.Of, this->service(),
         std::move(Request),
@@ -106,8 +106,8 @@
 
 std::shared_ptr<RequestRun> startForwardRun(RunContext &Context, RunSpec Spec,
                                             AnswerCaller Answer) {
-  auto Run = std::make_shared<ForwardRun>(Context, std::move(Spec),
-                                          std::move(Answer));
+  auto Run =
+      std::make_shared<ForwardRun>(Context, std::move(Spec), std::move(Answer));
   Run->start();
   return Run;
 }
--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -108,8 +108,8 @@
 
 void LeafChannel::callEnded(const LeafCallPtr &Call, LeafAnswer Answer) {
   const TimePoint Now = Clock::now();
-  const bool Failure = Answer.Outcome == LeafOutcome::Lost ||
-                       Answer.Response.Status >= 500;
+  const bool Failure =
+      Answer.Outcome == LeafOutcome::Lost || Answer.Response.Status >= 500;
   if (Answer.Outcome == LeafOutcome::NotRun)
     this->Stats.shed(Call->Id, Now);
   else if (Call->Done && Answer.Outcome == LeafOutcome::Lost)
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -60,10 +60,10 @@
     Known->entry() = Entry;
     return Known;
   }
-  const LeafChannelPtr Old =
-      std::exchange(Known, std::make_shared<LeafChannel>(
-                               this->Context, Entry, this->Names,
-                               this->Settings.Channel, this->Totals));
+  const LeafChannelPtr Old = std::exchange(
+      Known,
+      std::make_shared<LeafChannel>(this->Context, Entry, this->Names,
+                                    this->Settings.Channel, this->Totals));
   const LeafChannelPtr Result = Known;
   if (Old)
     Old->retire("leaf was started again");
@@ -81,11 +81,11 @@
   this->Services[Entry.Service].push_back(Channel);
 }
 
-std::span<const LeafChannelPtr>
-LeafFleet::replicas(std::string_view Service) {
+std::span<const LeafChannelPtr> LeafFleet::replicas(std::string_view Service) {
   const auto Found = this->Services.find(Service);
-  return Found == this->Services.end() ? std::span<const LeafChannelPtr>()
-                                       : std::span<const LeafChannelPtr>(Found->second);
+  return Found == this->Services.end()
+             ? std::span<const LeafChannelPtr>()
+             : std::span<const LeafChannelPtr>(Found->second);
 }
 
 double LeafFleet::cost(LeafChannel &Channel, Duration Typical, TimePoint Now) {
@@ -133,8 +133,7 @@
   return nullptr;
 }
 
-double LeafFleet::meanQueue(std::span<const std::string> Names,
-                            TimePoint Now) {
+double LeafFleet::meanQueue(std::span<const std::string> Names, TimePoint Now) {
   double Sum = 0;
   int Count = 0;
   for (const std::string &Service : Names)
@@ -161,11 +160,22 @@
 RouteFigures &LeafFleet::figures(const Route &Of) {
   auto Found = this->Figures.find(Of.Name);
   if (Found == this->Figures.end())
-    Found = this->Figures.emplace(Of.Name, RouteFigures(Of.LatencyObjective))
-                .first;
+    Found =
+        this->Figures.emplace(Of.Name, RouteFigures(Of.LatencyObjective)).first;
   return Found->second;
 }
 
+double LeafFleet::reachableShare(TimePoint Now) const {
+  std::size_t Reachable = 0;
+  for (const auto &[Id, Channel] : this->Channels)
+    if (Channel->stats().available(Now) && !Channel->stats().suspect())
+      ++Reachable;
+  return this->Channels.empty()
+             ? 1
+             : static_cast<double>(Reachable) /
+                   static_cast<double>(this->Channels.size());
+}
+
 std::uint64_t LeafFleet::extraSendsDenied() const {
   std::uint64_t Count = 0;
   for (const auto &[Service, Window] : this->Windows)
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -57,6 +57,8 @@
 
   const LeafChannelCounters &counters() const { return this->Totals; }
   std::size_t connections() const;
+  /// \returns the share of the leaves in use that calls may be sent to.
+  double reachableShare(TimePoint Now) const;
   /// \returns how often an extra send was wanted and not allowed.
   std::uint64_t extraSendsDenied() const;
   std::size_t leaves() const { return this->Channels.size(); }
--- a/citronlever/src/Gateway/LeafRequest.cpp
+++ b/citronlever/src/Gateway/LeafRequest.cpp
@@ -8,8 +8,8 @@
 namespace {
 
 constexpr std::array<std::string_view, 8> ConnectionFields = {
-    "Connection",        "Keep-Alive", "Proxy-Connection", "TE", "Trailer",
-    "Transfer-Encoding", "Upgrade",    "Expect"};
+    "Connection", "Keep-Alive",        "Proxy-Connection", "TE",
+    "Trailer",    "Transfer-Encoding", "Upgrade",          "Expect"};
 
 std::string_view trimmed(std::string_view Text) {
   const std::size_t First = Text.find_first_not_of(" \t");
--- a/citronlever/src/Gateway/RecordMerge.cpp
+++ b/citronlever/src/Gateway/RecordMerge.cpp
@@ -5,8 +5,7 @@
 
 namespace citronlever {
 
-std::string mergeRecords(std::span<const std::string> Parts,
-                         std::size_t Most) {
+std::string mergeRecords(std::span<const std::string> Parts, std::size_t Most) {
   std::vector<std::string_view> Records;
   for (const std::string &Part : Parts) {
     const std::string_view Bytes = Part;
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -45,8 +45,8 @@
   }
   if (this->Finished || !this->mayRepeat() || this->InFlight.empty())
     return;
-  const LeafChannelPtr Probe = this->Fleet.probe(
-      this->Service, this->InFlight.front().Leaf, Now);
+  const LeafChannelPtr Probe =
+      this->Fleet.probe(this->Service, this->InFlight.front().Leaf, Now);
   if (Probe && this->Of.Attempts > 1 &&
       this->Fleet.extraSends(this->Service).tryTake(Now, ProbeReserve))
     this->send(Probe, true, Now);
@@ -81,9 +81,8 @@
 }
 
 bool ReplicaCall::sendNext(bool Extra, TimePoint Now) {
-  const LeafChannelPtr Leaf =
-      this->Fleet.choose(this->Service, this->Tried,
-                         this->Fleet.figures(this->Of).typical(), Now);
+  const LeafChannelPtr Leaf = this->Fleet.choose(
+      this->Service, this->Tried, this->Fleet.figures(this->Of).typical(), Now);
   if (!Leaf) {
     if (this->Reason.empty())
       this->Reason = "no leaf of " + this->Service + " can be used";
@@ -201,9 +200,8 @@
 
 void ReplicaCall::reroute(TimePoint Now) {
   const Send Stuck = this->InFlight.back();
-  const LeafChannelPtr Other =
-      this->Fleet.choose(this->Service, this->Tried,
-                         this->Fleet.figures(this->Of).typical(), Now);
+  const LeafChannelPtr Other = this->Fleet.choose(
+      this->Service, this->Tried, this->Fleet.figures(this->Of).typical(), Now);
   if (!Other || ++this->FreeSends >= MaxFreeSends)
     return;
   this->InFlight.pop_back();
--- a/citronlever/src/Gateway/RequestChain.cpp
+++ b/citronlever/src/Gateway/RequestChain.cpp
@@ -103,12 +103,11 @@
     Answer(std::move(Response));
   };
   auto *Run = Frame.Of->scatters() ? startScatterRun : startForwardRun;
-  return startAdmitted(this->Context, std::move(Spec), std::move(Reported),
-                       [Run, &Context = this->Context](RunSpec Admitted,
-                                                       AnswerCaller Reply) {
-                         return Run(Context, std::move(Admitted),
-                                    std::move(Reply));
-                       });
+  return startAdmitted(
+      this->Context, std::move(Spec), std::move(Reported),
+      [Run, &Context = this->Context](RunSpec Admitted, AnswerCaller Reply) {
+        return Run(Context, std::move(Admitted), std::move(Reply));
+      });
 }
 
 } // namespace citronlever
--- a/citronlever/src/Gateway/RunContext.h
+++ b/citronlever/src/Gateway/RunContext.h
@@ -61,9 +61,7 @@
   /// By the first service that a route asks.
   std::map<std::string, ServiceGate, std::less<>> Gates{};
 
-  ServiceGate &gate(const std::string &Service) {
-    return this->Gates[Service];
-  }
+  ServiceGate &gate(const std::string &Service) { return this->Gates[Service]; }
 
   double random() {
     return std::uniform_real_distribution<double>(0, 1)(this->Random);
--- a/citronlever/src/Gateway/ScatterRun.cpp
+++ b/citronlever/src/Gateway/ScatterRun.cpp
@@ -122,8 +122,8 @@
       Call->abandon();
       this->Ran = combine(this->Ran, Call->ran());
     }
-    const Duration Return = retryAfter(this->Spec.Of->LatencyObjective,
-                                       this->Context.random());
+    const Duration Return =
+        retryAfter(this->Spec.Of->LatencyObjective, this->Context.random());
     this->finish(unserved(this->Ran, Now >= this->Times.End, Return,
                           this->Reason.empty() ? "too few shards answered"
                                                : this->Reason));
@@ -160,8 +160,8 @@
 
 std::shared_ptr<RequestRun> startScatterRun(RunContext &Context, RunSpec Spec,
                                             AnswerCaller Answer) {
-  auto Run = std::make_shared<ScatterRun>(Context, std::move(Spec),
-                                          std::move(Answer));
+  auto Run =
+      std::make_shared<ScatterRun>(Context, std::move(Spec), std::move(Answer));
   Run->start();
   return Run;
 }
--- a/citronlever/src/Gateway/internal/CallerSession.cpp
+++ b/citronlever/src/Gateway/internal/CallerSession.cpp
@@ -162,8 +162,7 @@
   Taken->Http.Body = std::move(Message.body());
   this->HeadOnly = Taken->Http.Method == "HEAD";
   auto Run = this->Shared->Serve(
-      std::move(Taken),
-      [Weak = this->weak_from_this()](HttpResponse Response) {
+      std::move(Taken), [Weak = this->weak_from_this()](HttpResponse Response) {
         if (const auto Self = Weak.lock())
           Self->answer(std::move(Response));
       });
@@ -194,7 +193,8 @@
   this->Serving = false;
   --this->Shared->InFlight;
   this->Run = nullptr;
-  this->KeepAlive = this->KeepAlive && !Response.Close && !this->Shared->Draining;
+  this->KeepAlive =
+      this->KeepAlive && !Response.Close && !this->Shared->Draining;
   this->Outgoing = answerHead(Response, this->KeepAlive);
   if (!this->HeadOnly && !hasNoBody(Response.Status))
     this->Outgoing += Response.Body;
@@ -244,9 +244,8 @@
 }
 
 void CallerSession::closeIfIdle() {
-  if (this->Lingering ||
-      (!this->Serving && !this->Writing && !this->HeadDone &&
-       this->Buffer.size() == 0))
+  if (this->Lingering || (!this->Serving && !this->Writing && !this->HeadDone &&
+                          this->Buffer.size() == 0))
     this->close();
 }
 
--- a/citronlever/src/Gateway/internal/LeafLink.cpp
+++ b/citronlever/src/Gateway/internal/LeafLink.cpp
@@ -67,15 +67,15 @@
     if (!Cancelled)
       Self->close("connect timed out");
   });
-  this->Socket.async_connect(
-      {Host, Address.Port}, [Self = this->shared_from_this()](auto Failed) {
-        if (Self->Closed)
-          return;
-        if (Failed)
-          Self->close("connect: " + Failed.message());
-        else
-          Self->connected();
-      });
+  this->Socket.async_connect({Host, Address.Port},
+                             [Self = this->shared_from_this()](auto Failed) {
+                               if (Self->Closed)
+                                 return;
+                               if (Failed)
+                                 Self->close("connect: " + Failed.message());
+                               else
+                                 Self->connected();
+                             });
 }
 
 void LeafLink::connected() {
@@ -227,8 +227,9 @@
   Result.Outcome = LeafOutcome::Answered;
   const bool Success =
       Result.Response.Status >= 200 && Result.Response.Status < 300;
-  if (Success && (!Result.Response.Headers.has(Channel->Names.AnswerSignature) ||
-                  Result.Response.Headers.has("Content-Encoding"))) {
+  if (Success &&
+      (!Result.Response.Headers.has(Channel->Names.AnswerSignature) ||
+       Result.Response.Headers.has("Content-Encoding"))) {
     Result.Outcome = LeafOutcome::Lost;
     Result.Reason = "success without a signature or with an encoding";
   }
@@ -240,9 +241,8 @@
   const TimePoint Now = Clock::now();
   this->UsableUntil = Now + Channel->Settings.IdleMax;
   if (const int Stated = keepAliveSeconds(KeepAliveField); Stated > 0)
-    this->UsableUntil =
-        Now + std::chrono::duration_cast<Duration>(Seconds(Stated) *
-                                                   SafeIdlePart);
+    this->UsableUntil = Now + std::chrono::duration_cast<Duration>(
+                                  Seconds(Stated) * SafeIdlePart);
   Channel->linkReady(this->shared_from_this());
 }
 
--- a/citronlever/src/Gateway/internal/RunTimes.h
+++ b/citronlever/src/Gateway/internal/RunTimes.h
@@ -35,8 +35,7 @@
   if (Spec.Request->FirstOnConnection)
     Room += CallerConnect;
   const Duration Most = Spec.Of->LatencyObjective / 3;
-  Result.AnswerBy =
-      Received + Spec.Of->LatencyObjective - std::min(Room, Most);
+  Result.AnswerBy = Received + Spec.Of->LatencyObjective - std::min(Room, Most);
   return Result;
 }
 
--- a/citronlever/src/Registry/EntrySelection.cpp
+++ b/citronlever/src/Registry/EntrySelection.cpp
@@ -24,8 +24,8 @@
                    [](const FleetMember &A, const FleetMember &B) {
                      return A.Capacity > B.Capacity;
                    });
-  const auto ByConnections =
-      static_cast<std::size_t>(std::max(1, ConnectionCap / ConnectionsPerEntry));
+  const auto ByConnections = static_cast<std::size_t>(
+      std::max(1, ConnectionCap / ConnectionsPerEntry));
   const std::size_t Most = std::max(LeastEntries, ByConnections);
   if (Serving.size() > Most)
     Serving.resize(Most);
--- a/citronlever/src/Registry/FleetMembers.cpp
+++ b/citronlever/src/Registry/FleetMembers.cpp
@@ -62,8 +62,8 @@
   const auto Counted = std::count_if(
       this->GoneAt.begin(), this->GoneAt.end(),
       [&](const auto &Item) { return Item.second + CountAfterGone > Now; });
-  return std::max<std::size_t>(
-      1, this->Members.size() + static_cast<std::size_t>(Counted));
+  return std::max<std::size_t>(1, this->Members.size() +
+                                      static_cast<std::size_t>(Counted));
 }
 
 const FleetMember *FleetMembers::find(std::string_view Name) const {
--- a/citronlever/src/Registry/LeafRegistry.cpp
+++ b/citronlever/src/Registry/LeafRegistry.cpp
@@ -11,8 +11,7 @@
                        Old.Draining != Entry.Draining ||
                        Old.Slots != Entry.Slots ||
                        Old.Version != Entry.Version ||
-                       Old.Domain != Entry.Domain ||
-                       Old.cold() != Entry.cold();
+                       Old.Domain != Entry.Domain || Old.cold() != Entry.cold();
   Known.Entry = std::move(Entry);
   Known.RemoveAt = TimePoint::max();
   if (Changed)
@@ -37,8 +36,8 @@
 }
 
 bool LeafRegistry::expire(TimePoint Now) {
-  const std::size_t Dropped = std::erase_if(
-      this->Leaves, [&](const auto &Item) {
+  const std::size_t Dropped =
+      std::erase_if(this->Leaves, [&](const auto &Item) {
         return Item.second.RemoveAt <= Now;
       });
   if (Dropped > 0)
--- a/citronlever/src/Registry/MemberLease.cpp
+++ b/citronlever/src/Registry/MemberLease.cpp
@@ -14,11 +14,10 @@
 
 void MemberLease::after(Duration Pause, void (MemberLease::*Then)()) {
   this->Timer.expires_after(Pause);
-  this->Timer.async_wait(
-      [Self = this->shared_from_this(), Then](auto Failure) {
-        if (!Failure && !Self->Ended)
-          ((*Self).*Then)();
-      });
+  this->Timer.async_wait([Self = this->shared_from_this(), Then](auto Failure) {
+    if (!Failure && !Self->Ended)
+      ((*Self).*Then)();
+  });
 }
 
 void MemberLease::grant() {
@@ -42,18 +41,17 @@
   Entry.Key = this->Documents.memberKey(this->Self.Name);
   Entry.Value = encodeMember(this->Self);
   Entry.Lease = this->Lease;
-  this->Store.write(
-      std::move(Entry),
-      [Self = this->shared_from_this()](const StoreReply &Reply) {
-        if (Self->Ended)
-          return;
-        if (Reply.Status == StoreStatus::Done)
-          Self->after(Self->Settings.Renewal, &MemberLease::renew);
-        else if (Reply.Status == StoreStatus::Absent)
-          Self->after(Self->Settings.RetryPause, &MemberLease::grant);
-        else
-          Self->after(Self->Settings.RetryPause, &MemberLease::writeEntry);
-      });
+  this->Store.write(std::move(Entry), [Self = this->shared_from_this()](
+                                          const StoreReply &Reply) {
+    if (Self->Ended)
+      return;
+    if (Reply.Status == StoreStatus::Done)
+      Self->after(Self->Settings.Renewal, &MemberLease::renew);
+    else if (Reply.Status == StoreStatus::Absent)
+      Self->after(Self->Settings.RetryPause, &MemberLease::grant);
+    else
+      Self->after(Self->Settings.RetryPause, &MemberLease::writeEntry);
+  });
 }
 
 void MemberLease::renew() {
--- a/citronlever/src/Registry/PeerProbe.cpp
+++ b/citronlever/src/Registry/PeerProbe.cpp
@@ -64,8 +64,7 @@
   if (What == Kind::Probe)
     this->send(Kind::Answer, this->From);
   else if (What == Kind::Answer)
-    this->State.answered(
-        {this->From.address().to_string(), this->From.port()});
+    this->State.answered({this->From.address().to_string(), this->From.port()});
 }
 
 void PeerProbe::send(Kind What, const asio::ip::udp::endpoint &To) {
@@ -88,8 +87,7 @@
 void PeerProbe::probe() {
   const TimePoint Now = Clock::now();
   const bool Paused =
-      Now - this->LastRound >
-      PeerSilence::period(this->Members) + PauseNoticed;
+      Now - this->LastRound > PeerSilence::period(this->Members) + PauseNoticed;
   this->LastRound = Now;
   for (const Endpoint &Peer : this->State.beginRound(Paused)) {
     boost::system::error_code Failure;
--- a/citronlever/src/Registry/PeerSilence.h
+++ b/citronlever/src/Registry/PeerSilence.h
@@ -31,9 +31,8 @@
   /// Only these are probed from now on.
   void setPeers(std::span<const Endpoint> Peers) {
     const std::set<Endpoint> Kept(Peers.begin(), Peers.end());
-    std::erase_if(this->Unanswered, [&](const auto &Item) {
-      return !Kept.contains(Item.first);
-    });
+    std::erase_if(this->Unanswered,
+                  [&](const auto &Item) { return !Kept.contains(Item.first); });
     for (const Endpoint &Peer : Kept)
       this->Unanswered.try_emplace(Peer, 0);
   }
--- a/citronlever/src/Registry/RelayedStore.cpp
+++ b/citronlever/src/Registry/RelayedStore.cpp
@@ -98,28 +98,27 @@
   HttpRequest Request;
   Request.Target = "/changes?after=" + std::to_string(Revision) +
                    "&wait_ms=" + std::to_string(toMs(RelayWait));
-  Client->send(
-      std::move(Request), RelayWait + RelaySlack,
-      [this, Peer, Prefix, Revision, Wait, Keep = Client,
-       Then = std::move(Then)](const HttpResult &Answer) mutable {
-        StoreItems Result;
-        const bool Came = Answer.Outcome == HttpOutcome::Answered;
-        try {
-          if (Came && Answer.Response.Status == 200) {
-            RelayedChanges Changes = fromText(Answer.Response.Body);
-            Result.Status = StoreStatus::Done;
-            Result.Items = std::move(Changes.Items);
-            Result.AsOf = Changes.AsOf;
-            Then(std::move(Result));
-            return;
-          }
-        } catch (const DecodeError &Failure) {
-          Result.Reason = Failure.what();
-        }
-        this->failed(Peer, Clock::now());
-        // Whether the store itself is away is for the store to say.
-        this->Store.watch(Prefix, Revision, Wait, std::move(Then));
-      });
+  Client->send(std::move(Request), RelayWait + RelaySlack,
+               [this, Peer, Prefix, Revision, Wait, Keep = Client,
+                Then = std::move(Then)](const HttpResult &Answer) mutable {
+                 StoreItems Result;
+                 const bool Came = Answer.Outcome == HttpOutcome::Answered;
+                 try {
+                   if (Came && Answer.Response.Status == 200) {
+                     RelayedChanges Changes = fromText(Answer.Response.Body);
+                     Result.Status = StoreStatus::Done;
+                     Result.Items = std::move(Changes.Items);
+                     Result.AsOf = Changes.AsOf;
+                     Then(std::move(Result));
+                     return;
+                   }
+                 } catch (const DecodeError &Failure) {
+                   Result.Reason = Failure.what();
+                 }
+                 this->failed(Peer, Clock::now());
+                 // Whether the store itself is away is for the store to say.
+                 this->Store.watch(Prefix, Revision, Wait, std::move(Then));
+               });
 }
 
 HttpHandler relayHandler(ChangeRelay &Relay) {
--- a/citronlever/src/Registry/StoreFeed.cpp
+++ b/citronlever/src/Registry/StoreFeed.cpp
@@ -27,11 +27,11 @@
 
 void StoreFeed::after(Duration Pause, std::function<void()> Then) {
   this->Timer.expires_after(Pause);
-  this->Timer.async_wait([Self = this->shared_from_this(),
-                          Then = std::move(Then)](auto Failure) {
-    if (!Failure && !Self->Stopped)
-      Then();
-  });
+  this->Timer.async_wait(
+      [Self = this->shared_from_this(), Then = std::move(Then)](auto Failure) {
+        if (!Failure && !Self->Stopped)
+          Then();
+      });
 }
 
 void StoreFeed::readPage(const std::string &After) {
--- a/citronlever/src/Registry/StoreMirror.cpp
+++ b/citronlever/src/Registry/StoreMirror.cpp
@@ -40,8 +40,7 @@
 void StoreMirror::endRead() {
   std::vector<std::string> Missing;
   for (auto At = this->Items.lower_bound(this->ReadPrefix);
-       At != this->Items.end() && At->first.starts_with(this->ReadPrefix);
-       ++At)
+       At != this->Items.end() && At->first.starts_with(this->ReadPrefix); ++At)
     if (!this->ReadKeys.contains(At->first) &&
         At->second.Revision < this->ReadAsOf)
       Missing.push_back(At->first);
--- a/test/Dispatch/AdmissionGateTest.cpp
+++ b/test/Dispatch/AdmissionGateTest.cpp
@@ -98,8 +98,9 @@
 
 } // namespace
 
-DOCTEST_TEST_CASE("overload of two and five times: most of the capacity is still "
-                  "answered in time, without the gate next to none") {
+DOCTEST_TEST_CASE(
+    "overload of two and five times: most of the capacity is still "
+    "answered in time, without the gate next to none") {
   for (const unsigned Seed : {1U, 2U, 3U})
     for (const double Load : {2.0, 5.0}) {
       DOCTEST_INFO("seed " << Seed << " load " << Load);
--- a/test/Dispatch/AnswerTimeTest.cpp
+++ b/test/Dispatch/AnswerTimeTest.cpp
@@ -34,7 +34,8 @@
                 GatherStep::GiveUp);
 }
 
-DOCTEST_TEST_CASE("coverage that can't be reached any more is given up at once") {
+DOCTEST_TEST_CASE(
+    "coverage that can't be reached any more is given up at once") {
   DOCTEST_CHECK(nextStep(state(10, 7), Start) == GatherStep::GiveUp);
   DOCTEST_CHECK(nextStep(state(10, 8), Start) == GatherStep::Wait);
 }
--- a/test/Dispatch/ReplicaStatsTest.cpp
+++ b/test/Dispatch/ReplicaStatsTest.cpp
@@ -34,8 +34,9 @@
                 1.5 * Sound.Stats.cost(Typical, Now));
 }
 
-DOCTEST_TEST_CASE("pausing leaf: a call that is out too long shows it before its "
-                  "answer") {
+DOCTEST_TEST_CASE(
+    "pausing leaf: a call that is out too long shows it before its "
+    "answer") {
   TimePoint Now{Seconds(100)};
   Leaf Pausing;
   Pausing.answer(Typical, Now);
@@ -83,8 +84,9 @@
   DOCTEST_CHECK(Dark.Stats.available(Now + Typical));
 }
 
-DOCTEST_TEST_CASE("lost answers: the leaf costs more but is not set aside, since "
-                  "its sibling may lose as many") {
+DOCTEST_TEST_CASE(
+    "lost answers: the leaf costs more but is not set aside, since "
+    "its sibling may lose as many") {
   TimePoint Now{Seconds(100)};
   Leaf Losing;
   Losing.answer(Typical, Now);
@@ -126,7 +128,8 @@
                     Cap);
 }
 
-DOCTEST_TEST_CASE("a hedge waits for the observed quantile, within the objective") {
+DOCTEST_TEST_CASE(
+    "a hedge waits for the observed quantile, within the objective") {
   RouteFigures Figures(Milliseconds(100));
   TimePoint Now{Seconds(100)};
   DOCTEST_CHECK(Figures.hedgeAfter(Now) <= Milliseconds(30));
--- a/test/Gateway/LeafChannelTest.cpp
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -69,7 +69,8 @@
   DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Answered));
   DOCTEST_CHECK(Test.Leaf.Accepted == 1);
   DOCTEST_CHECK(RawLeaf::field(Test.Leaf.Requests[0], "X-Leaf") == "leaf-1");
-  const int Left = std::stoi(RawLeaf::field(Test.Leaf.Requests[0], "X-Deadline"));
+  const int Left =
+      std::stoi(RawLeaf::field(Test.Leaf.Requests[0], "X-Deadline"));
   DOCTEST_CHECK(Left <= 5000);
   DOCTEST_CHECK(Left > 3000);
 }
@@ -138,10 +139,12 @@
   DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Lost));
 }
 
-DOCTEST_TEST_CASE("bytes that are no answer are lost, as is a success without a "
-                  "signature or with an encoding") {
+DOCTEST_TEST_CASE(
+    "bytes that are no answer are lost, as is a success without a "
+    "signature or with an encoding") {
   std::string Bytes;
-  Fixture Test([&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
+  Fixture Test(
+      [&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
   Bytes = "\x01\x02 nonsense\r\n\r\n";
   DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::Lost));
   Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
@@ -151,10 +154,12 @@
   DOCTEST_CHECK((Test.one("c").Outcome == LeafOutcome::Lost));
 }
 
-DOCTEST_TEST_CASE("a refusal that says so is not run; another leaf at the address "
-                  "is never asked again") {
+DOCTEST_TEST_CASE(
+    "a refusal that says so is not run; another leaf at the address "
+    "is never asked again") {
   std::string Bytes;
-  Fixture Test([&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
+  Fixture Test(
+      [&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
   Bytes = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
   DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::NotRun));
   DOCTEST_CHECK(!Test.Channel->misdirected());
@@ -176,8 +181,9 @@
   DOCTEST_CHECK(!Test.Channel->stats().available(Clock::now()));
 }
 
-DOCTEST_TEST_CASE("an abandoned call is cancelled by closing its connection after "
-                  "a short grace") {
+DOCTEST_TEST_CASE(
+    "an abandoned call is cancelled by closing its connection after "
+    "a short grace") {
   Fixture Test([](const std::string &, RawLeaf::Peer &) {});
   std::vector<LeafAnswer> Answers;
   const LeafCallPtr Call = Test.call("a", Answers);
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -16,18 +16,18 @@
   RunContext Context{Io, TestNames, Fleet, Delay};
   CurrentRoutes Routes;
   RequestChain Chain{Context, Routes};
-  CallerServer Callers{
-      Io,
-      [this](CallerRequestPtr Request, AnswerCaller Answer) {
-        return this->Chain.serve(std::move(Request), std::move(Answer));
-      },
-      [] {
-        CallerLimits Limits;
-        Limits.MaxBodyBytes = 100;
-        Limits.MaxHeaderBytes = 1000;
-        Limits.HeaderTimeout = Milliseconds(100);
-        return Limits;
-      }};
+  CallerServer Callers{Io,
+                       [this](CallerRequestPtr Request, AnswerCaller Answer) {
+                         return this->Chain.serve(std::move(Request),
+                                                  std::move(Answer));
+                       },
+                       [] {
+                         CallerLimits Limits;
+                         Limits.MaxBodyBytes = 100;
+                         Limits.MaxHeaderBytes = 1000;
+                         Limits.HeaderTimeout = Milliseconds(100);
+                         return Limits;
+                       }};
   LeafRegistry Registry;
   std::vector<std::unique_ptr<RawLeaf>> Leaves;
   Endpoint Address;
@@ -89,8 +89,8 @@
   /// or the connection ends.
   std::string ask(const std::string &Bytes) {
     boost::asio::ip::tcp::socket Socket(this->Io);
-    Socket.connect({boost::asio::ip::make_address("127.0.0.1"),
-                    this->Address.Port});
+    Socket.connect(
+        {boost::asio::ip::make_address("127.0.0.1"), this->Address.Port});
     boost::asio::write(Socket, boost::asio::buffer(Bytes));
     std::string Got;
     std::array<char, 4096> Chunk{};
@@ -164,7 +164,8 @@
 
 } // namespace
 
-DOCTEST_TEST_CASE("a process that knows no configuration says not run, not 404") {
+DOCTEST_TEST_CASE(
+    "a process that knows no configuration says not run, not 404") {
   Fixture Test;
   const std::string Got = Test.ask(Fixture::request("/p/x"));
   DOCTEST_CHECK(status(Got) == 503);
@@ -175,8 +176,8 @@
   Fixture Test;
   Test.routes(forward(RequestKind::Idempotent));
   DOCTEST_CHECK(status(Test.ask(Fixture::request("/q/x"))) == 404);
-  DOCTEST_CHECK(
-      status(Test.ask(Fixture::request("/p/x", "X-Deadline: soon\r\n"))) == 400);
+  DOCTEST_CHECK(status(Test.ask(
+                    Fixture::request("/p/x", "X-Deadline: soon\r\n"))) == 400);
   DOCTEST_CHECK(status(Test.ask(Fixture::request(
                     "/p/x", "X-Long: " + std::string(2000, 'x') + "\r\n"))) ==
                 431);
@@ -201,16 +202,16 @@
   DOCTEST_CHECK(Test.Leaves[0]->Requests[0].starts_with("GET /p/x?y HTTP/1.1"));
 }
 
-DOCTEST_TEST_CASE("a non-idempotent request that may have run is not repeated") {
+DOCTEST_TEST_CASE(
+    "a non-idempotent request that may have run is not repeated") {
   Fixture Test;
   Test.leaf("a", fails());
   Test.leaf("a", fails());
   Test.routes(forward(RequestKind::NonIdempotent));
   const std::string Got = Test.ask(Fixture::request("/p/x"));
   DOCTEST_CHECK(status(Got) == 502);
-  DOCTEST_CHECK(Test.Leaves[0]->Requests.size() +
-                    Test.Leaves[1]->Requests.size() ==
-                1);
+  DOCTEST_CHECK(
+      Test.Leaves[0]->Requests.size() + Test.Leaves[1]->Requests.size() == 1);
 }
 
 DOCTEST_TEST_CASE("a leaf's 503 that does not say 'not run' promises nothing") {
@@ -222,7 +223,8 @@
   DOCTEST_CHECK(status(Test.ask(Fixture::request("/p/x"))) == 502);
 }
 
-DOCTEST_TEST_CASE("a non-idempotent request that was refused goes to another leaf") {
+DOCTEST_TEST_CASE(
+    "a non-idempotent request that was refused goes to another leaf") {
   Fixture Test;
   const auto Full = [](const std::string &, RawLeaf::Peer &To) {
     To.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
@@ -234,7 +236,8 @@
     DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
 }
 
-DOCTEST_TEST_CASE("all leaves refuse: not run, at once, with a time to return") {
+DOCTEST_TEST_CASE(
+    "all leaves refuse: not run, at once, with a time to return") {
   Fixture Test;
   Test.leaf("a", [](const std::string &, RawLeaf::Peer &To) {
     To.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
@@ -247,8 +250,9 @@
   DOCTEST_CHECK(Clock::now() - Began < Milliseconds(300));
 }
 
-DOCTEST_TEST_CASE("idempotent: lost answers are asked for again, also at a leaf "
-                  "that was asked before") {
+DOCTEST_TEST_CASE(
+    "idempotent: lost answers are asked for again, also at a leaf "
+    "that was asked before") {
   Fixture Test;
   int Left = 2;
   Test.leaf("a", [&](const std::string &Head, RawLeaf::Peer &To) {
@@ -335,7 +339,8 @@
   DOCTEST_CHECK(Test.Context.Counters.CallersGone == 1);
 }
 
-DOCTEST_TEST_CASE("a draining server answers and asks to close the connection") {
+DOCTEST_TEST_CASE(
+    "a draining server answers and asks to close the connection") {
   Fixture Test;
   Test.leaf("a", answers("good"));
   Test.routes(forward(RequestKind::Idempotent));
--- a/test/Registry/FleetTest.cpp
+++ b/test/Registry/FleetTest.cpp
@@ -66,7 +66,8 @@
   DOCTEST_CHECK(Members.serving().size() == 1);
 }
 
-DOCTEST_TEST_CASE("a member that has gone still shares the limits for a while") {
+DOCTEST_TEST_CASE(
+    "a member that has gone still shares the limits for a while") {
   FleetMembers Members;
   Members.put(member("a", "d", 1));
   Members.put(member("b", "d", 1));
@@ -77,7 +78,8 @@
   DOCTEST_CHECK(Members.sharers(Start + FleetMembers::CountAfterGone) == 1);
 }
 
-DOCTEST_TEST_CASE("a registration survives its encoding; other bytes are refused") {
+DOCTEST_TEST_CASE(
+    "a registration survives its encoding; other bytes are refused") {
   FleetMember Member = member("a", "d", 0.25);
   Member.Leaving = true;
   const FleetMember Read = decodeMember(encodeMember(Member));
@@ -111,7 +113,8 @@
   DOCTEST_CHECK(!Silence.silent(Peers[1]));
 }
 
-DOCTEST_TEST_CASE("a member that hears nobody names all, and a pause is no proof") {
+DOCTEST_TEST_CASE(
+    "a member that hears nobody names all, and a pause is no proof") {
   PeerSilence Silence;
   const std::vector<Endpoint> Peers = {{"10.0.0.1", 1}, {"10.0.0.2", 1}};
   Silence.setPeers(Peers);
--- a/test/Registry/LeafRegistryTest.cpp
+++ b/test/Registry/LeafRegistryTest.cpp
@@ -26,8 +26,9 @@
   DOCTEST_CHECK(Leaves.size() == 0);
 }
 
-DOCTEST_TEST_CASE("entries that lapsed while the registry was away wait for its "
-                  "return, and are gone if they do not come back") {
+DOCTEST_TEST_CASE(
+    "entries that lapsed while the registry was away wait for its "
+    "return, and are gone if they do not come back") {
   LeafRegistry Leaves;
   Leaves.put(entry("back"), Start);
   Leaves.put(entry("gone"), Start);
--- a/test/Registry/StoreFeedTest.cpp
+++ b/test/Registry/StoreFeedTest.cpp
@@ -66,7 +66,8 @@
   DOCTEST_CHECK(Test.Lost == 0);
 }
 
-DOCTEST_TEST_CASE("a dropped history is read again, with what went in the gap") {
+DOCTEST_TEST_CASE(
+    "a dropped history is read again, with what went in the gap") {
   Fixture Test;
   Test.Store.put("gone", "v");
   Test.start();
@@ -86,7 +87,8 @@
 
 // With a wait of 5 s, five members learned of a version 5.5 s after it was
 // acknowledged, since their watches had been cut without a sign.
-DOCTEST_TEST_CASE("a watch that was cut silently is noticed within two seconds") {
+DOCTEST_TEST_CASE(
+    "a watch that was cut silently is noticed within two seconds") {
   Fixture Test;
   const StoreFeedSettings Defaults;
   Test.start();
