Test platform/ against stand-ins; hold out versions that are being rolled out

Stand-ins of the users' store (in memory and over HTTP) serve tests of the store client, the documents and a whole process.

Cause of the second part: an order to move a service to a version was not read, so that leaves of an untried version would have got half of the traffic, above the share that a bad version may get. Change: they get none while another version serves.

--- /dev/null
+++ b/citronlever/src/Core/Base64.cpp
@@ -0,0 +1,49 @@
+#include "citronlever/src/Core/Base64.h"
+
+#include "citronlever/src/Core/Error.h"
+
+#include <openssl/evp.h>
+
+namespace citronlever {
+
+namespace {
+
+constexpr std::size_t GroupChars = 4;
+constexpr std::size_t GroupBytes = 3;
+
+unsigned char *bytes(std::string &Text) {
+  return reinterpret_cast<unsigned char *>(Text.data());
+}
+
+const unsigned char *bytes(std::string_view Text) {
+  return reinterpret_cast<const unsigned char *>(Text.data());
+}
+
+} // namespace
+
+std::string encodeBase64(std::string_view Bytes) {
+  // The encoder writes a final zero byte as well.
+  std::string Result((Bytes.size() + 2) / GroupBytes * GroupChars + 1, '\0');
+  const int Size = EVP_EncodeBlock(bytes(Result), bytes(Bytes),
+                                   static_cast<int>(Bytes.size()));
+  Result.resize(static_cast<std::size_t>(Size));
+  return Result;
+}
+
+std::string decodeBase64(std::string_view Text) {
+  if (Text.empty())
+    return {};
+  if (Text.size() % GroupChars != 0)
+    throw DecodeError("base64 text is cut short");
+  std::string Result(Text.size() / GroupChars * GroupBytes, '\0');
+  if (EVP_DecodeBlock(bytes(Result), bytes(Text),
+                      static_cast<int>(Text.size())) < 0)
+    throw DecodeError("not base64 text");
+  const std::size_t Padding = Text.ends_with("==")  ? 2
+                              : Text.ends_with('=') ? 1
+                                                    : 0;
+  Result.resize(Result.size() - Padding);
+  return Result;
+}
+
+} // namespace citronlever
--- /dev/null
+++ b/citronlever/src/Core/Base64.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+
+namespace citronlever {
+
+/// \returns \p Bytes as standard base64 text with padding.
+std::string encodeBase64(std::string_view Bytes);
+
+/// \throws DecodeError if \p Text is not standard base64 with padding.
+std::string decodeBase64(std::string_view Text);
+
+} // namespace citronlever
--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -115,9 +115,18 @@
 
 void EdgeNode::domainClosed(std::string_view Domain, bool Closed) {
   if (Closed)
-    this->ClosedDomains.emplace(Domain);
+    this->Bounds.ClosedDomains.emplace(Domain);
   else
-    this->ClosedDomains.erase(std::string(Domain));
+    this->Bounds.ClosedDomains.erase(std::string(Domain));
+  this->Changed = true;
+}
+
+void EdgeNode::versionOrdered(std::string_view Service,
+                              std::string_view Version) {
+  if (Version.empty())
+    this->Bounds.HeldOut.erase(std::string(Service));
+  else
+    this->Bounds.HeldOut[std::string(Service)] = Version;
   this->Changed = true;
 }
 
@@ -182,8 +191,8 @@
     return;
   this->Changed = false;
   this->Senders = NewSenders;
-  this->Fleet.update(this->Leaves, this->Routes.get(), this->ClosedDomains,
-                     NewSenders, Now);
+  this->Fleet.update(this->Leaves, this->Routes.get(), this->Bounds, NewSenders,
+                     Now);
 }
 
 std::size_t EdgeNode::senders(TimePoint Now) const {
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -61,6 +61,8 @@
   void leafGone(std::string_view Id) override;
   void routes(RouteTablePtr Table) override;
   void domainClosed(std::string_view Domain, bool Closed) override;
+  void versionOrdered(std::string_view Service,
+                      std::string_view Version) override;
   void member(FleetMember Member) override;
   void memberGone(std::string_view Name) override;
 
@@ -86,7 +88,7 @@
   const DocumentReader &Documents;
   LeafRegistry Leaves;
   FleetMembers Members;
-  std::set<std::string> ClosedDomains;
+  LeafBounds Bounds;
   CurrentRoutes Routes;
   LeafFleet Fleet;
   LoopDelay Delay;
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -17,6 +17,19 @@
 /// Replicas of equal cost are used alike.
 constexpr double Spread = 0.1;
 
+/// \returns services of which a version is held out and another one serves.
+std::set<std::string> otherVersions(const LeafRegistry &Registry,
+                                    const LeafBounds &Bounds) {
+  std::set<std::string> Result;
+  Registry.each([&](const LeafEntry &Entry) {
+    const auto HeldOut = Bounds.HeldOut.find(Entry.Service);
+    if (HeldOut != Bounds.HeldOut.end() && !Entry.Draining &&
+        HeldOut->second != Entry.Version)
+      Result.insert(Entry.Service);
+  });
+  return Result;
+}
+
 } // namespace
 
 LeafFleet::LeafFleet(boost::asio::io_context &Context, const HeaderNames &Names,
@@ -25,16 +38,20 @@
       Random(std::random_device{}()) {}
 
 void LeafFleet::update(const LeafRegistry &Registry,
-                       const RouteTablePtr &Routes,
-                       const std::set<std::string> &ClosedDomains,
+                       const RouteTablePtr &Routes, const LeafBounds &Bounds,
                        std::size_t SenderCount, TimePoint Now) {
   this->Senders = SenderCount;
   for (auto &[Service, Window] : this->Windows)
     Window.setSharers(SenderCount);
   this->Services.clear();
   std::set<std::string> Kept;
+  const std::set<std::string> Replaced = otherVersions(Registry, Bounds);
   Registry.each([&](const LeafEntry &Entry) {
-    if (Entry.Draining || ClosedDomains.contains(Entry.Domain))
+    const auto HeldOut = Bounds.HeldOut.find(Entry.Service);
+    const bool Held = HeldOut != Bounds.HeldOut.end() &&
+                      HeldOut->second == Entry.Version &&
+                      Replaced.contains(Entry.Service);
+    if (Entry.Draining || Held || Bounds.ClosedDomains.contains(Entry.Domain))
       return;
     Kept.insert(Entry.Id);
     this->addReplica(Entry, Routes, SenderCount, Now);
@@ -64,7 +81,7 @@
       Known,
       std::make_shared<LeafChannel>(this->Context, Entry, this->Names,
                                     this->Settings.Channel, this->Totals));
-  const LeafChannelPtr Result = Known;
+  LeafChannelPtr Result = Known;
   if (Old)
     Old->retire("leaf was started again");
   return Result;
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -23,6 +23,14 @@
   LeafChannelSettings Channel;
 };
 
+/// What operators say of leaves that get no calls.
+struct LeafBounds {
+  std::set<std::string> ClosedDomains;
+  /// Version of a service, by the service's name, that gets no calls while the
+  /// service has leaves of another version.
+  std::map<std::string, std::string> HeldOut;
+};
+
 /// The leaves that may be used now, by service, and the figures that decide
 /// among them. Used on one thread.
 class LeafFleet {
@@ -30,11 +38,10 @@
   LeafFleet(boost::asio::io_context &Context, const HeaderNames &Names,
             LeafFleetSettings Settings);
 
-  /// Takes what is known now. Leaves that are draining, gone, born anew or in a
-  /// closed failure domain get no further call.
+  /// Takes what is known now. Leaves that are draining, gone, born anew or
+  /// outside \p Bounds get no further call.
   void update(const LeafRegistry &Registry, const RouteTablePtr &Routes,
-              const std::set<std::string> &ClosedDomains, std::size_t Senders,
-              TimePoint Now);
+              const LeafBounds &Bounds, std::size_t Senders, TimePoint Now);
 
   std::span<const LeafChannelPtr> replicas(std::string_view Service);
 
--- a/citronlever/src/Gateway/internal/CallerSession.cpp
+++ b/citronlever/src/Gateway/internal/CallerSession.cpp
@@ -162,9 +162,10 @@
   Taken->Http.Body = std::move(Message.body());
   this->HeadOnly = Taken->Http.Method == "HEAD";
   auto Run = this->Shared->Serve(
-      std::move(Taken), [Weak = this->weak_from_this()](HttpResponse Response) {
+      std::move(Taken),
+      [Weak = this->weak_from_this()](const HttpResponse &Response) {
         if (const auto Self = Weak.lock())
-          Self->answer(std::move(Response));
+          Self->answer(Response);
       });
   // The answer may already have been given.
   if (this->Serving)
@@ -187,7 +188,7 @@
   this->answer(refusal(Status, Reason));
 }
 
-void CallerSession::answer(HttpResponse Response) {
+void CallerSession::answer(const HttpResponse &Response) {
   if (!this->Serving || this->Closed)
     return;
   this->Serving = false;
--- a/citronlever/src/Gateway/internal/CallerSession.h
+++ b/citronlever/src/Gateway/internal/CallerSession.h
@@ -47,7 +47,7 @@
   void serve();
   void refuse(int Status, std::string_view Reason);
   void refuseBytes(boost::system::error_code Failure);
-  void answer(HttpResponse Response);
+  void answer(const HttpResponse &Response);
   void written(boost::system::error_code Failure);
   void setTimer(Duration Wait, int Status);
   void timeOut(int Status);
--- a/citronlever/src/Registry/Documents.h
+++ b/citronlever/src/Registry/Documents.h
@@ -20,6 +20,9 @@
   virtual void routes(RouteTablePtr Table) = 0;
   /// Operators take a failure domain out, or back.
   virtual void domainClosed(std::string_view Domain, bool Closed) = 0;
+  /// Operators order a service to be moved to \p Version; empty: no longer.
+  virtual void versionOrdered(std::string_view Service,
+                              std::string_view Version) = 0;
   virtual void member(FleetMember Member) = 0;
   virtual void memberGone(std::string_view Name) = 0;
 };
--- a/citronlever/src/Registry/StoreFeed.cpp
+++ b/citronlever/src/Registry/StoreFeed.cpp
@@ -66,11 +66,12 @@
 }
 
 void StoreFeed::watch() {
-  this->Store.watch(this->Settings.Prefix, this->AsOf, this->Settings.WatchWait,
-                    [Self = this->shared_from_this()](StoreItems Changes) {
-                      if (!Self->Stopped)
-                        Self->watchCame(Changes);
-                    });
+  this->Store.watch(
+      this->Settings.Prefix, this->AsOf, this->Settings.WatchWait,
+      [Self = this->shared_from_this()](const StoreItems &Changes) {
+        if (!Self->Stopped)
+          Self->watchCame(Changes);
+      });
 }
 
 void StoreFeed::watchCame(const StoreItems &Changes) {
--- a/cmake/Citron.cmake
+++ b/cmake/Citron.cmake
@@ -49,14 +49,19 @@
   set_target_properties(${Name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
-# Registers test/<Name>/*.cpp as the module's one test program.
+# Registers test/<Name>/*.cpp as the module's one test program.  Further
+# arguments name the libraries in place of the module's own.
 function(citron_test Name)
   string(TOLOWER ${Name} Lower)
   file(GLOB Sources CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/test/${Name}/*.cpp)
   if(NOT Sources)
     return()
   endif()
-  citron_program(test_${Lower} ${CMAKE_SOURCE_DIR}/test/main.cpp ${Sources} LIBS ${Name} ${ARGN})
+  set(Libs ${Name})
+  if(ARGN)
+    set(Libs ${ARGN})
+  endif()
+  citron_program(test_${Lower} ${CMAKE_SOURCE_DIR}/test/main.cpp ${Sources} LIBS ${Libs})
   target_compile_definitions(test_${Lower} PRIVATE DOCTEST_CONFIG_NO_SHORT_MACRO_NAMES)
   target_link_libraries(test_${Lower} PRIVATE rapidcheck)
   add_test(NAME ${Name} COMMAND test_${Lower} "-tce=bound: *")
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -356,7 +356,8 @@
   Test.routes(forward(RequestKind::Idempotent));
   DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "old");
   Test.leaf("a", answers("new"));
-  Test.Fleet.update(Test.Registry, Test.Routes.get(), {"d1"}, 1, Clock::now());
+  Test.Fleet.update(Test.Registry, Test.Routes.get(), {{"d1"}, {}}, 1,
+                    Clock::now());
   DOCTEST_CHECK(status(Test.ask(Fixture::request("/p/x"))) == 503);
   LeafEntry Draining = *Test.Registry.find("leaf-1");
   Draining.Draining = true;
@@ -412,3 +413,22 @@
   });
   DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
 }
+
+DOCTEST_TEST_CASE(
+    "a version that is held out gets no call while another serves") {
+  Fixture Test;
+  RawLeaf &New = Test.leaf("a", answers("new"));
+  Test.leaf("a", answers("old"));
+  LeafEntry Entry = *Test.Registry.find("leaf-1");
+  Entry.Version = "v2";
+  Test.Registry.put(Entry, Clock::now());
+  Test.routes(forward(RequestKind::Idempotent));
+  const LeafBounds Bounds{{}, {{"a", "v2"}}};
+  Test.Fleet.update(Test.Registry, Test.Routes.get(), Bounds, 1, Clock::now());
+  for (int At = 0; At < 5; ++At)
+    DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "old");
+  DOCTEST_CHECK(New.Requests.empty());
+  Test.Registry.remove("leaf-2", Clock::now());
+  Test.Fleet.update(Test.Registry, Test.Routes.get(), Bounds, 1, Clock::now());
+  DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "new");
+}
--- a/test/Registry/StoreFeedTest.cpp
+++ b/test/Registry/StoreFeedTest.cpp
@@ -1,5 +1,5 @@
-#include "FakeKeyStore.h"
 #include "citronlever/Registry"
+#include "test/standins/FakeKeyStore.h"
 
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
--- /dev/null
+++ b/test/UsersPlatform/DocumentsTest.cpp
@@ -0,0 +1,143 @@
+#include "platform/Documents.h"
+
+#include "citronlever/Core"
+
+#include <doctest/doctest.h>
+
+using namespace citronlever;
+
+namespace {
+
+constexpr std::string_view Configuration = R"({
+  "version": 7, "new": {},
+  "routes": [
+    {"name":"r1","host":"h.example","prefix":"/a/","routeType":"idempotent",
+     "timeoutMs":800,"targetLatencyMs":50,"priority":2,"fanout":["s1","s2"],
+     "attempts":2,"topK":5,"minCoverage":0.75},
+    {"name":"r2","host":"h.example","prefix":"/b/","routeType":"non_idempotent",
+     "timeoutMs":6000,"targetLatencyMs":400,"priority":0,"attempts":3,
+     "backends":[{"service":"s3","weight":3},{"service":"s4","weight":1}]},
+    {"name":"broken","host":7,"prefix":"/c/","routeType":"idempotent"}],
+  "services": [{"name":"s1","healthPath":"/health","maxConnections":26,
+                "protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":20.0}],
+  "limits": {"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,
+             "idleTimeoutMs":15000}})";
+
+struct Heard final : DocumentSink {
+  std::vector<std::string> Events;
+
+  void leaf(LeafEntry Entry) override {
+    this->Events.push_back("leaf " + Entry.Id);
+  }
+  void leafGone(std::string_view Id) override {
+    this->Events.push_back("leaf gone " + std::string(Id));
+  }
+  void routes(RouteTablePtr Table) override {
+    this->Events.push_back("routes " + std::to_string(Table->version()));
+  }
+  void domainClosed(std::string_view Domain, bool Closed) override {
+    this->Events.push_back(std::string(Closed ? "closed " : "open ") +
+                           std::string(Domain));
+  }
+  void versionOrdered(std::string_view Service,
+                      std::string_view Version) override {
+    this->Events.push_back("order " + std::string(Service) + "=" +
+                           std::string(Version));
+  }
+  void member(FleetMember Member) override {
+    this->Events.push_back("member " + Member.Name);
+  }
+  void memberGone(std::string_view Name) override {
+    this->Events.push_back("member gone " + std::string(Name));
+  }
+};
+
+std::string entry(std::string_view State, std::string_view Slots = "2") {
+  return R"({"service":"s1","address":"10.0.0.1:80","zone":"z1","version":"v1",)"
+         R"("slots":)" +
+         std::string(Slots) + R"(,"state":")" + std::string(State) +
+         R"(","warmupLeftMs":1500,"sequence":4,"born":1792972644817})";
+}
+
+} // namespace
+
+DOCTEST_TEST_CASE("a configuration becomes routes, services and limits") {
+  const RouteTablePtr Table = platform::decodeRoutes(Configuration);
+  DOCTEST_CHECK(Table->version() == 7);
+  const Route *Scatter = Table->match("h.example", "/a/x");
+  DOCTEST_REQUIRE(Scatter);
+  DOCTEST_CHECK(Scatter->Shards == std::vector<std::string>{"s1", "s2"});
+  DOCTEST_CHECK((Scatter->Kind == RequestKind::Idempotent));
+  DOCTEST_CHECK(Scatter->LeastCoverage == 0.75);
+  DOCTEST_CHECK((Scatter->LatencyObjective == Milliseconds(50)));
+  const Route *Weighted = Table->match("h.example", "/b/x");
+  DOCTEST_REQUIRE(Weighted);
+  DOCTEST_CHECK((Weighted->Kind == RequestKind::NonIdempotent));
+  DOCTEST_CHECK(Weighted->Targets.size() == 2);
+  DOCTEST_CHECK(Weighted->Targets[0].Weight == 3);
+  DOCTEST_CHECK(Table->service("s1")->ConnectionCap == 26);
+  DOCTEST_CHECK(Table->service("s1")->ColdRatePerSecond == 20);
+  DOCTEST_CHECK(Table->limits().MaxBodyBytes == 1000);
+}
+
+DOCTEST_TEST_CASE(
+    "a route that can't be read is passed over, the others hold") {
+  DOCTEST_CHECK(platform::decodeRoutes(Configuration)->routes().size() == 2);
+  DOCTEST_CHECK_THROWS_AS(platform::decodeRoutes("{}"), DecodeError);
+  DOCTEST_CHECK_THROWS_AS(platform::decodeRoutes("[1"), DecodeError);
+}
+
+DOCTEST_TEST_CASE("a leaf's entry says all that decides about it") {
+  const LeafEntry Leaf = platform::decodeLeaf("i-1", entry("ready"));
+  DOCTEST_CHECK(Leaf.Id == "i-1");
+  DOCTEST_CHECK(Leaf.Incarnation == 1792972644817);
+  DOCTEST_CHECK((Leaf.Address == Endpoint{"10.0.0.1", 80}));
+  DOCTEST_CHECK((Leaf.ColdFor == Milliseconds(1500)));
+  DOCTEST_CHECK(!Leaf.Draining);
+  DOCTEST_CHECK(platform::decodeLeaf("i-1", entry("draining")).Draining);
+}
+
+DOCTEST_TEST_CASE("entries of other writers name no leaf") {
+  const platform::Documents Documents;
+  Heard Sink;
+  const std::vector<std::string> Foreign = {
+      entry("sleeping"),
+      entry("ready", "\"2\""),
+      entry("ready", "2.5"),
+      R"({"service":"s1"})",
+      "not json",
+      "",
+      R"([])",
+      R"({"service":1,"address":"10.0.0.1:80"})",
+      std::string("\xff\xfe\0", 3)};
+  for (const std::string &Value : Foreign)
+    Documents.read({"servers/i-1", Value, 1, false}, Sink);
+  DOCTEST_CHECK(Sink.Events ==
+                std::vector<std::string>(Foreign.size(), "leaf gone i-1"));
+}
+
+DOCTEST_TEST_CASE("each key goes to what it means") {
+  const platform::Documents Documents;
+  Heard Sink;
+  FleetMember Member;
+  Member.Name = "n1";
+  const std::string Key = Documents.memberKey("n1");
+  Documents.read({"servers/i-1", entry("ready"), 1, false}, Sink);
+  Documents.read({"servers/i-1", "", 2, true}, Sink);
+  Documents.read({"op/config", std::string(Configuration), 3, false}, Sink);
+  Documents.read({"op/evacuate/z1", "{}", 4, false}, Sink);
+  Documents.read({"op/evacuate/z1", "", 5, true}, Sink);
+  Documents.read({"op/rollout/s1",
+                  R"({"service":"s1","targetVersion":"v2","durationS":12})", 5,
+                  false},
+                 Sink);
+  Documents.read({"op/rollout/s1", "", 6, true}, Sink);
+  Documents.read({Key, encodeMember(Member), 6, false}, Sink);
+  Documents.read({Key, "", 7, true}, Sink);
+  Documents.read({"other/key", "x", 8, false}, Sink);
+  Documents.read({"op/config", "broken", 9, false}, Sink);
+  DOCTEST_CHECK(Sink.Events == std::vector<std::string>{
+                                   "leaf i-1", "leaf gone i-1", "routes 7",
+                                   "closed z1", "open z1", "order s1=v2",
+                                   "order s1=", "member n1", "member gone n1"});
+}
--- /dev/null
+++ b/test/UsersPlatform/EdgeTest.cpp
@@ -0,0 +1,131 @@
+#include "citronlever/Edge"
+#include "citronlever/Core"
+#include "platform/Documents.h"
+#include "platform/Faces.h"
+#include "platform/HttpKeyStore.h"
+#include "platform/WireNames.h"
+#include "test/standins/KeyStoreServer.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+using namespace citronlever;
+
+namespace {
+
+constexpr std::string_view Configuration =
+    R"({"version":3,"routes":[],"services":[]})";
+
+/// A whole process of this system against a store's stand-in.
+struct Fixture {
+  boost::asio::io_context Io;
+  FakeKeyStore Held{Io};
+  KeyStoreServer Server{Io, Held};
+  platform::HttpKeyStore Store{Io, Server.address()};
+  platform::Documents Documents;
+  EdgeNode Node;
+
+  explicit Fixture(const std::string &Name = "n1")
+      : Node(Io, settings(Name), Store, Documents, platform::WireHeaders) {}
+
+  Endpoint freePort() {
+    boost::asio::ip::tcp::acceptor Free(
+        this->Io, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    return {"127.0.0.1", Free.local_endpoint().port()};
+  }
+
+  EdgeSettings settings(const std::string &Name) {
+    EdgeSettings Result;
+    Result.Name = Name;
+    Result.Domain = "d1";
+    Result.Callers = this->freePort();
+    Result.Peers = this->freePort();
+    Result.StopTime = Milliseconds(700);
+    Result.DirectoryTimeToLive = Milliseconds(50);
+    return Result;
+  }
+
+  template <class Condition> bool until(Condition Holds) {
+    const TimePoint End = Clock::now() + Seconds(8);
+    while (!Holds() && Clock::now() < End)
+      this->Io.run_for(Milliseconds(5));
+    return Holds();
+  }
+
+  int ask(const HttpHandler &Handler, const std::string &Target,
+          std::string *Body = nullptr) {
+    auto Request = std::make_shared<HttpRequest>();
+    Request->Target = Target;
+    int Status = 0;
+    Handler(Request, [&](HttpResponse Response) {
+      Status = Response.Status;
+      if (Body)
+        *Body = Response.Body;
+    });
+    return Status;
+  }
+};
+
+} // namespace
+
+DOCTEST_TEST_CASE("a process is ready once it knows a configuration, and tells "
+                  "callers its own address") {
+  Fixture Test;
+  const HttpHandler Ready = platform::readyHandler(Test.Node);
+  const HttpHandler Directory = platform::directoryHandler(Test.Node);
+  Test.Node.start();
+  Test.Io.run_for(Milliseconds(50));
+  DOCTEST_CHECK(Test.ask(Ready, "/v1/ready") == 503);
+  DOCTEST_CHECK(Test.ask(Directory, "/v1/resolve?zone=d1") == 503);
+  Test.Held.put("op/config", std::string(Configuration));
+  DOCTEST_CHECK(Test.until([&] { return Test.Node.ready(); }));
+  DOCTEST_CHECK(Test.ask(Ready, "/v1/ready") == 200);
+  std::string Body;
+  DOCTEST_CHECK(Test.until([&] {
+    return Test.ask(Directory, "/v1/resolve?zone=d1", &Body) == 200;
+  }));
+  DOCTEST_CHECK(Body.find(toString(Test.Node.settings().Callers)) !=
+                std::string::npos);
+  DOCTEST_CHECK(Test.ask(Ready, "/metrics", &Body) == 200);
+  DOCTEST_CHECK(Body.find("citronlever_route_version 3") != std::string::npos);
+}
+
+DOCTEST_TEST_CASE(
+    "a planned stop leaves discovery at once and ends in its time") {
+  Fixture Test;
+  Test.Held.put("op/config", std::string(Configuration));
+  Test.Node.start();
+  DOCTEST_REQUIRE(
+      Test.until([&] { return !Test.Node.addresses("d1").empty(); }));
+  bool Stopped = false;
+  const TimePoint Began = Clock::now();
+  Test.Node.stop([&] { Stopped = true; });
+  DOCTEST_CHECK(!Test.Node.ready());
+  DOCTEST_CHECK(Test.until([&] { return Stopped; }));
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(700));
+  DOCTEST_CHECK(Test.until([&] {
+    return !Test.Held.Items.contains(Test.Documents.memberKey("n1"));
+  }));
+}
+
+DOCTEST_TEST_CASE("settings are checked with field and reason") {
+  const std::string Path = "edge_settings_test.json";
+  const auto Read = [&](const std::string &Text) {
+    std::ofstream(Path) << Text;
+    return readEdgeSettings(Path);
+  };
+  const std::string Good =
+      R"({"name":"n","domain":"d","callers":"10.0.0.1:1","ready":"10.0.0.1:2",)"
+      R"("directory":"10.0.0.1:3","peers":"10.0.0.1:4","store":"10.0.0.2:5",)"
+      R"("processor_share":0.25,"cores":2,"extra_send_ratio":0.2,)"
+      R"("extra_send_slack":56)";
+  DOCTEST_CHECK(Read(Good + "}").Capacity == 0.5);
+  DOCTEST_CHECK_THROWS_WITH_AS(Read(Good + R"(,"stop_ms":-1})"),
+                               doctest::Contains("stop_ms"), SettingsError);
+  DOCTEST_CHECK_THROWS_WITH_AS(Read(Good + R"(,"typo":1})"),
+                               doctest::Contains("typo"), SettingsError);
+  DOCTEST_CHECK_THROWS_AS(Read("{"), SettingsError);
+  std::remove(Path.c_str());
+}
--- /dev/null
+++ b/test/UsersPlatform/HttpKeyStoreTest.cpp
@@ -0,0 +1,130 @@
+#include "platform/HttpKeyStore.h"
+
+#include "test/standins/KeyStoreServer.h"
+
+#include <doctest/doctest.h>
+
+using namespace citronlever;
+
+namespace {
+
+struct Fixture {
+  boost::asio::io_context Io;
+  FakeKeyStore Held{Io};
+  KeyStoreServer Server{Io, Held};
+  platform::HttpKeyStore Store{Io, Server.address()};
+
+  template <class Condition> bool until(Condition Holds) {
+    const TimePoint End = Clock::now() + Seconds(5);
+    while (!Holds() && Clock::now() < End)
+      this->Io.run_for(Milliseconds(2));
+    return Holds();
+  }
+
+  StoreItems items(const std::function<void(KeyStore::ThenItems)> &Ask) {
+    std::optional<StoreItems> Came;
+    Ask([&](StoreItems Result) { Came = std::move(Result); });
+    this->until([&] { return Came.has_value(); });
+    return Came.value_or(StoreItems{});
+  }
+
+  StoreReply reply(const std::function<void(KeyStore::ThenReply)> &Ask) {
+    std::optional<StoreReply> Came;
+    Ask([&](StoreReply Result) { Came = std::move(Result); });
+    this->until([&] { return Came.has_value(); });
+    return Came.value_or(StoreReply{});
+  }
+};
+
+} // namespace
+
+DOCTEST_TEST_CASE("keys with any bytes in their values are read by page") {
+  Fixture Test;
+  const std::string Bytes("\0\xff{}\n", 5);
+  for (int At = 0; At < 4; ++At)
+    Test.Held.put("a/" + std::to_string(At), Bytes);
+  const StoreItems First =
+      Test.items([&](auto Then) { Test.Store.range("a/", "", Then); });
+  DOCTEST_CHECK((First.Status == StoreStatus::Done));
+  DOCTEST_CHECK(First.MorePages);
+  DOCTEST_REQUIRE(First.Items.size() == 3);
+  DOCTEST_CHECK(First.Items[0].Value == Bytes);
+  const StoreItems Rest =
+      Test.items([&](auto Then) { Test.Store.range("a/", "a/2", Then); });
+  DOCTEST_CHECK(Rest.Items.size() == 1);
+  DOCTEST_CHECK(!Rest.MorePages);
+}
+
+DOCTEST_TEST_CASE("a watch tells writes and removals, and a lost history") {
+  Fixture Test;
+  Test.Held.put("k", "1");
+  const std::uint64_t Before = Test.Held.Revision;
+  Test.Held.put("k", "2");
+  Test.Held.erase("k");
+  const StoreItems Came = Test.items(
+      [&](auto Then) { Test.Store.watch("", Before, Seconds(1), Then); });
+  DOCTEST_REQUIRE(Came.Items.size() == 2);
+  DOCTEST_CHECK(Came.Items[0].Value == "2");
+  DOCTEST_CHECK(Came.Items[1].Removed);
+  Test.Held.dropHistory();
+  const StoreItems Gone = Test.items(
+      [&](auto Then) { Test.Store.watch("", Before, Seconds(1), Then); });
+  DOCTEST_CHECK((Gone.Status == StoreStatus::HistoryGone));
+}
+
+DOCTEST_TEST_CASE("writes under a condition and a lease") {
+  Fixture Test;
+  const StoreReply Lease =
+      Test.reply([&](auto Then) { Test.Store.grantLease(Seconds(3), Then); });
+  DOCTEST_CHECK((Lease.TimeToLive == Seconds(3)));
+  const StoreWrite Create{"k", "v", Lease.Lease, true, 0, false};
+  const auto Write = [&](const StoreWrite &What) {
+    return Test.reply([&](auto Then) { Test.Store.write(What, Then); }).Status;
+  };
+  DOCTEST_CHECK((Write(Create) == StoreStatus::Done));
+  DOCTEST_CHECK((Write(Create) == StoreStatus::Conflict));
+  const auto Renew = [&] {
+    return Test
+        .reply([&](auto Then) { Test.Store.renewLease(Lease.Lease, Then); })
+        .Status;
+  };
+  DOCTEST_CHECK((Renew() == StoreStatus::Done));
+  Test.Held.lapse(Lease.Lease);
+  DOCTEST_CHECK((Renew() == StoreStatus::Absent));
+  DOCTEST_CHECK((Write({"k2", "v", Lease.Lease, false, 0, false}) ==
+                 StoreStatus::Absent));
+}
+
+DOCTEST_TEST_CASE(
+    "a refused call did nothing; one without an answer may have") {
+  Fixture Test;
+  const StoreWrite Write{"k", "v", 0, false, 0, false};
+  Test.Server.Refusing = 503;
+  DOCTEST_CHECK(
+      (Test.reply([&](auto Then) { Test.Store.write(Write, Then); }).Status ==
+       StoreStatus::Refused));
+  Test.Server.Refusing = 429;
+  DOCTEST_CHECK(
+      (Test.items([&](auto Then) { Test.Store.range("", "", Then); }).Status ==
+       StoreStatus::Refused));
+  Test.Server.Refusing = 0;
+  Test.Server.Silent = true;
+  const TimePoint Began = Clock::now();
+  DOCTEST_CHECK(
+      (Test.reply([&](auto Then) { Test.Store.write(Write, Then); }).Status ==
+       StoreStatus::Unknown));
+  DOCTEST_CHECK(Clock::now() - Began < Seconds(2));
+  DOCTEST_CHECK(Test.Store.calls().Failed == 3);
+}
+
+// A watch that was cut silently must be noticed within the bound of a
+// configuration (3 s), with time left to read again.
+DOCTEST_TEST_CASE("a silent watch ends soon after its wait") {
+  Fixture Test;
+  Test.Server.Silent = true;
+  const TimePoint Began = Clock::now();
+  const StoreItems Came = Test.items(
+      [&](auto Then) { Test.Store.watch("", 1, Milliseconds(300), Then); });
+  DOCTEST_CHECK((Came.Status == StoreStatus::Refused));
+  DOCTEST_CHECK(Clock::now() - Began < Milliseconds(1300));
+}
--- a/test/Registry/FakeKeyStore.h
+++ b/test/standins/FakeKeyStore.h
@@ -96,8 +96,14 @@
     else if (Write.Lease != 0 &&
              std::ranges::find(this->Ended, Write.Lease) != this->Ended.end())
       Reply.Status = StoreStatus::Absent;
+    else if (Write.Conditional &&
+             this->revisionOf(Write.Key) != Write.ExpectedRevision)
+      Reply.Status = StoreStatus::Conflict;
+    else if (Write.Remove)
+      this->erase(Write.Key);
     else
       this->put(Write.Key, Write.Value, Write.Lease);
+    Reply.Revision = this->Revision;
     this->post([Then, Reply] { Then(Reply); });
   }
 
@@ -142,6 +148,11 @@
     ThenItems Then;
   };
 
+  std::uint64_t revisionOf(const std::string &Key) const {
+    const auto Found = this->Items.find(Key);
+    return Found == this->Items.end() ? 0 : Found->second.Revision;
+  }
+
   template <class Function> void post(Function Run) {
     boost::asio::post(this->Io, std::move(Run));
   }
