--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -310,10 +310,35 @@
 }
 
 std::string EdgeNode::dump() const {
-  boost::json::object Result;
+  boost::json::object Figures;
   for (const auto &[Name, Value] : this->figures())
-    Result[Name] = Value;
-  return boost::json::serialize(Result);
+    Figures[Name] = Value;
+  boost::json::array Entries;
+  for (const FleetMember &Member : this->entries())
+    Entries.push_back({{"name", Member.Name},
+                       {"domain", Member.Domain},
+                       {"silent", this->Probe->silent(Member.Peers)}});
+  boost::json::array LeafStates;
+  const TimePoint Now = Clock::now();
+  this->Fleet.each([&](LeafChannel &Channel) {
+    const LeafEntry &Entry = Channel.entry();
+    LeafStates.push_back({{"id", Entry.Id},
+                          {"service", Entry.Service},
+                          {"domain", Entry.Domain},
+                          {"version", Entry.Version},
+                          {"connections", Channel.connections()},
+                          {"outstanding", Channel.stats().outstanding()},
+                          {"slowness", Channel.stats().slowness(Now)},
+                          {"suspect", Channel.stats().suspect()},
+                          {"misdirected", Channel.misdirected()}});
+  });
+  return boost::json::serialize(
+      boost::json::object{{"name", this->Settings.Name},
+                          {"ready", this->ready()},
+                          {"store_away", this->Feed->away()},
+                          {"figures", std::move(Figures)},
+                          {"entries", std::move(Entries)},
+                          {"leaves", std::move(LeafStates)}});
 }
 
 } // namespace citronlever
--- a/citronlever/src/Edge/EdgeSettings.cpp
+++ b/citronlever/src/Edge/EdgeSettings.cpp
@@ -24,6 +24,7 @@
   Result.Directory = Fields.endpoint("directory");
   Result.Peers = Fields.endpoint("peers");
   Result.Store = Fields.endpoint("store");
+  Result.Metrics = Fields.optionalEndpoint("metrics");
   Result.Capacity = Fields.number("processor_share", 0, 1, 1) *
                     Fields.number("cores", 0, MaxCores, 1);
   Result.ExtraSends.Ratio = Fields.number("extra_send_ratio", 0, MaxRatio);
--- a/citronlever/src/Edge/EdgeSettings.h
+++ b/citronlever/src/Edge/EdgeSettings.h
@@ -4,6 +4,7 @@
 #include "citronlever/src/Core/Time.h"
 #include "citronlever/src/Dispatch/ExtraSendWindow.h"
 
+#include <optional>
 #include <string>
 
 namespace citronlever {
@@ -22,6 +23,8 @@
   /// Other members.
   Endpoint Peers;
   Endpoint Store;
+  /// Figures and state of this process, as text; not served if unset.
+  std::optional<Endpoint> Metrics;
   /// Processor power of this VM, in cores.
   double Capacity = 1;
   ExtraSendLimit ExtraSends;
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -6,6 +6,7 @@
 #include "citronlever/src/Registry/LeafRegistry.h"
 #include "citronlever/src/Routing/RouteTable.h"
 
+#include <functional>
 #include <map>
 #include <random>
 #include <set>
@@ -62,6 +63,12 @@
   ExtraSendWindow &extraSends(std::string_view Service);
   RouteFigures &figures(const Route &Of);
 
+  /// Runs \p Use for each leaf that may be used.
+  void each(const std::function<void(LeafChannel &)> &Use) const {
+    for (const auto &[Id, Channel] : this->Channels)
+      Use(*Channel);
+  }
+
   const LeafChannelCounters &counters() const { return this->Totals; }
   std::size_t connections() const;
   /// \returns the share of the leaves in use that calls may be sent to.
--- a/daemons/noded.cpp
+++ b/daemons/noded.cpp
@@ -46,6 +46,7 @@
   EdgeNode Node(Context, Settings, Store, Documents, platform::WireHeaders);
   HttpServer Ready(Context, {}, platform::readyHandler(Node));
   HttpServer Directory(Context, {}, platform::directoryHandler(Node));
+  HttpServer Metrics(Context, {}, metricsHandler(Node));
   boost::asio::signal_set Stop(Context, SIGTERM, SIGINT);
   Stop.async_wait([&](auto Failure, int) {
     if (!Failure)
@@ -55,6 +56,8 @@
   onReload(Reload, Settings);
   Ready.listen(Settings.Ready);
   Directory.listen(Settings.Directory);
+  if (Settings.Metrics)
+    Metrics.listen(*Settings.Metrics);
   Node.start();
   Context.run();
 }
--- a/test/UsersPlatform/EdgeTest.cpp
+++ b/test/UsersPlatform/EdgeTest.cpp
@@ -88,7 +88,7 @@
   }));
   DOCTEST_CHECK(Body.find(toString(Test.Node.settings().Callers)) !=
                 std::string::npos);
-  DOCTEST_CHECK(Test.ask(Ready, "/metrics", &Body) == 200);
+  DOCTEST_CHECK(Test.ask(metricsHandler(Test.Node), "/metrics", &Body) == 200);
   DOCTEST_CHECK(Body.find("citronlever_route_version 3") != std::string::npos);
 }
 
