--- a/citronlever/src/Dispatch/RouteFigures.h
+++ b/citronlever/src/Dispatch/RouteFigures.h
@@ -41,7 +41,7 @@
   /// objective.
   static constexpr int UnknownPart = 6;
   static constexpr double HedgeQuantile = 0.95;
-  static constexpr Duration LeastHedge = Milliseconds(8);
+  static constexpr Duration LeastHedge = Milliseconds(14);
   static constexpr Duration TailPeriod = Seconds(3);
 
   static Duration fromMs(double Ms) {
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -13,7 +13,7 @@
 /// Pause before a send is tried again for which there was no extra send left.
 constexpr Duration BudgetPause = Milliseconds(10);
 /// Part of the extra sends that hedges and copies leave to retries.
-constexpr double HedgeReserve = 0.25;
+constexpr double HedgeReserve = 0.1;
 constexpr double ProbeReserve = 0.5;
 
 ReplicaStats::CallId nextCallId() {
