--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -19,7 +19,7 @@
          static_cast<int>(this->Links.size()) >= this->MaxConnections;
 }
 
-void LeafChannel::call(const LeafCallPtr &Call) {
+void LeafChannel::call(const ChannelCallPtr &Call) {
   if (this->Retired) {
     LeafAnswer Result;
     Result.Reason = "leaf is leaving";
@@ -36,7 +36,7 @@
     const std::shared_ptr<LeafLink> Link = this->takeIdle(Now);
     if (!Link)
       break;
-    const LeafCallPtr Call = this->Waiting.front();
+    const ChannelCallPtr Call = this->Waiting.front();
     this->Waiting.pop_front();
     Link->send(Call, Now);
   }
@@ -97,16 +97,16 @@
 }
 
 void LeafChannel::failWaiting(std::string_view Reason) {
-  std::deque<LeafCallPtr> Failed;
+  std::deque<ChannelCallPtr> Failed;
   Failed.swap(this->Waiting);
-  for (const LeafCallPtr &Call : Failed) {
+  for (const ChannelCallPtr &Call : Failed) {
     LeafAnswer Result;
     Result.Reason = std::string(Reason);
     this->callEnded(Call, std::move(Result));
   }
 }
 
-void LeafChannel::callEnded(const LeafCallPtr &Call, LeafAnswer Answer) {
+void LeafChannel::callEnded(const ChannelCallPtr &Call, LeafAnswer Answer) {
   const TimePoint Now = Clock::now();
   const bool Failure =
       Answer.Outcome == LeafOutcome::Lost || Answer.Response.Status >= 500;
@@ -123,7 +123,7 @@
   std::exchange(Call->Then, nullptr)(std::move(Answer));
 }
 
-bool LeafChannel::abandon(const LeafCallPtr &Call) {
+bool LeafChannel::abandon(const ChannelCallPtr &Call) {
   Call->Then = nullptr;
   Call->OnSent = nullptr;
   const auto Queued =
--- a/citronlever/src/Gateway/LeafChannel.h
+++ b/citronlever/src/Gateway/LeafChannel.h
@@ -40,7 +40,7 @@
 };
 
 /// One call to one leaf, from the side that asked for it.
-struct LeafCall {
+struct ChannelCall {
   ReplicaStats::CallId Id = 0;
   LeafRequestPtr Request;
   /// Runs once, unless the call is abandoned before.
@@ -52,7 +52,7 @@
   bool Done = false;
 };
 
-using LeafCallPtr = std::shared_ptr<LeafCall>;
+using ChannelCallPtr = std::shared_ptr<ChannelCall>;
 
 /// Connections and calls to one incarnation of one leaf. Used on one thread.
 class LeafChannel : public std::enable_shared_from_this<LeafChannel> {
@@ -63,11 +63,11 @@
   ~LeafChannel();
 
   /// Sends on an idle connection, a new one, or as soon as one is free.
-  void call(const LeafCallPtr &Call);
+  void call(const ChannelCallPtr &Call);
 
   /// The answer is no longer waited for; a call not sent yet is dropped.
   /// \returns whether it had been sent.
-  bool abandon(const LeafCallPtr &Call);
+  bool abandon(const ChannelCallPtr &Call);
 
   /// Takes no more calls; those not sent yet end as NotSent, the others go on.
   void retire(std::string_view Reason);
@@ -99,7 +99,7 @@
   void linkGone(const std::shared_ptr<LeafLink> &Link);
   void linkFailed(const std::shared_ptr<LeafLink> &Link,
                   std::string_view Reason);
-  void callEnded(const LeafCallPtr &Call, LeafAnswer Answer);
+  void callEnded(const ChannelCallPtr &Call, LeafAnswer Answer);
   void failWaiting(std::string_view Reason);
 
   boost::asio::io_context &Context;
@@ -111,7 +111,7 @@
   ColdGate Cold;
   std::vector<std::shared_ptr<LeafLink>> Links;
   std::vector<std::shared_ptr<LeafLink>> Idle;
-  std::deque<LeafCallPtr> Waiting;
+  std::deque<ChannelCallPtr> Waiting;
   int MaxConnections = 1;
   int Connecting = 0;
   bool Retired = false;
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -57,6 +57,20 @@
     this->addReplica(Entry, Routes, SenderCount, Now);
   });
   this->retireMissing(Kept);
+  if (Routes && Routes->version() != this->PrunedBy)
+    this->prune(*Routes);
+}
+
+void LeafFleet::prune(const RouteTable &Routes) {
+  this->PrunedBy = Routes.version();
+  std::set<std::string_view> Names;
+  for (const Route &Entry : Routes.routes())
+    Names.insert(Entry.Name);
+  std::erase_if(this->Figures,
+                [&](const auto &Item) { return !Names.contains(Item.first); });
+  std::erase_if(this->Windows, [&](const auto &Item) {
+    return Routes.service(Item.first) == nullptr;
+  });
 }
 
 void LeafFleet::retireMissing(const std::set<std::string> &Kept) {
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -82,6 +82,9 @@
   LeafChannelPtr channel(const LeafEntry &Entry);
   void addReplica(const LeafEntry &Entry, const RouteTablePtr &Routes,
                   std::size_t Senders, TimePoint Now);
+  /// Forgets figures of routes and services that the configuration no longer
+  /// names.
+  void prune(const RouteTable &Routes);
   void retireMissing(const std::set<std::string> &Kept);
 
   boost::asio::io_context &Context;
@@ -93,6 +96,8 @@
   std::map<std::string, ExtraSendWindow, std::less<>> Windows;
   std::map<std::string, RouteFigures, std::less<>> Figures;
   std::size_t Senders = 0;
+  /// Version of the configuration by which figures were last pruned.
+  std::uint64_t PrunedBy = 0;
   std::minstd_rand Random;
 };
 
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -94,13 +94,13 @@
 
 void ReplicaCall::send(const LeafChannelPtr &Leaf, bool Extra, TimePoint Now) {
   RouteFigures &Figures = this->Fleet.figures(this->Of);
-  auto Call = std::make_shared<LeafCall>();
+  auto Call = std::make_shared<ChannelCall>();
   Call->Id = nextCallId();
   Call->Request = this->Request;
   Call->Typical = Figures.typical();
   Call->Then = [Self = this->shared_from_this(),
                 Weak = std::weak_ptr(Call)](LeafAnswer Answer) {
-    if (const LeafCallPtr Ended = Weak.lock())
+    if (const ChannelCallPtr Ended = Weak.lock())
       Self->ended(Ended, std::move(Answer));
   };
   this->Tried.push_back(Leaf);
@@ -111,7 +111,7 @@
   Leaf->call(Call);
 }
 
-void ReplicaCall::ended(const LeafCallPtr &Call, LeafAnswer Answer) {
+void ReplicaCall::ended(const ChannelCallPtr &Call, LeafAnswer Answer) {
   const auto Found = std::ranges::find(this->InFlight, Call, &Send::Call);
   if (this->Finished || Found == this->InFlight.end())
     return;
--- a/citronlever/src/Gateway/ReplicaCall.h
+++ b/citronlever/src/Gateway/ReplicaCall.h
@@ -47,13 +47,13 @@
 private:
   struct Send {
     LeafChannelPtr Leaf;
-    LeafCallPtr Call;
+    ChannelCallPtr Call;
     bool Extra = false;
   };
 
   bool sendNext(bool Extra, TimePoint Now);
   void send(const LeafChannelPtr &Leaf, bool Extra, TimePoint Now);
-  void ended(const LeafCallPtr &Call, LeafAnswer Answer);
+  void ended(const ChannelCallPtr &Call, LeafAnswer Answer);
   void decide(const Send &From, LeafAnswer Answer, TimePoint Now);
   void sendAgain(TimePoint Now);
   void reroute(TimePoint Now);
--- a/citronlever/src/Gateway/internal/LeafLink.cpp
+++ b/citronlever/src/Gateway/internal/LeafLink.cpp
@@ -86,7 +86,7 @@
     Channel->linkReady(this->shared_from_this());
 }
 
-void LeafLink::send(const LeafCallPtr &Call, TimePoint Now) {
+void LeafLink::send(const ChannelCallPtr &Call, TimePoint Now) {
   const auto Channel = this->Owner.lock();
   this->Current = Call;
   Call->SentAt = Now;
@@ -190,7 +190,7 @@
                          this->Buffer.size() == 0 && this->usable(Clock::now());
   const std::string KeepAliveField(Message["Keep-Alive"]);
   LeafAnswer Result = this->decode();
-  const LeafCallPtr Call = std::move(this->Current);
+  const ChannelCallPtr Call = std::move(this->Current);
   this->Current = nullptr;
   this->Timer.cancel();
   if (KeepAlive)
@@ -246,7 +246,7 @@
   Channel->linkReady(this->shared_from_this());
 }
 
-void LeafLink::abandon(const LeafCallPtr &Call) {
+void LeafLink::abandon(const ChannelCallPtr &Call) {
   Call->Done = true;
   const auto Channel = this->Owner.lock();
   this->Timer.expires_after(Channel->Settings.AbandonGrace);
@@ -264,7 +264,7 @@
   if (!Channel)
     return;
   const auto Self = this->shared_from_this();
-  const LeafCallPtr Call = std::move(this->Current);
+  const ChannelCallPtr Call = std::move(this->Current);
   this->Current = nullptr;
   if (this->Fresh) {
     Channel->linkFailed(Self, Reason);
--- a/citronlever/src/Gateway/internal/LeafLink.h
+++ b/citronlever/src/Gateway/internal/LeafLink.h
@@ -21,12 +21,12 @@
            const std::shared_ptr<LeafChannel> &Owner);
 
   void connect();
-  void send(const LeafCallPtr &Call, TimePoint Now);
-  void abandon(const LeafCallPtr &Call);
+  void send(const ChannelCallPtr &Call, TimePoint Now);
+  void abandon(const ChannelCallPtr &Call);
   /// Ends the connection; a call on it ends as lost.
   void close(std::string_view Reason);
 
-  const LeafCallPtr &call() const { return this->Current; }
+  const ChannelCallPtr &call() const { return this->Current; }
   /// \returns whether the connection was never ready.
   bool fresh() const { return this->Fresh; }
   void settle() { this->Fresh = false; }
@@ -53,7 +53,7 @@
   std::weak_ptr<LeafChannel> Owner;
   boost::beast::flat_buffer Buffer;
   std::optional<Parser> Answer;
-  LeafCallPtr Current;
+  ChannelCallPtr Current;
   std::string Outgoing;
   TimePoint UsableUntil = TimePoint::max();
   bool Writing = false;
--- a/test/Gateway/LeafChannelTest.cpp
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -24,13 +24,13 @@
     this->Channel->setMaxConnections(2);
   }
 
-  LeafCallPtr call(const std::string &Id, std::vector<LeafAnswer> &Answers,
-                   const std::string &Method = "GET") {
+  ChannelCallPtr call(const std::string &Id, std::vector<LeafAnswer> &Answers,
+                      const std::string &Method = "GET") {
     HttpRequest Http;
     Http.Method = Method;
     Http.Target = "/p?q=1";
     Http.Headers.set("X-Id", Id);
-    auto Call = std::make_shared<LeafCall>();
+    auto Call = std::make_shared<ChannelCall>();
     Call->Id = ++this->LastCall;
     Call->Request = std::make_shared<LeafRequest>(Http, TestNames,
                                                   Clock::now() + Seconds(5));
@@ -186,7 +186,7 @@
     "a short grace") {
   Fixture Test([](const std::string &, RawLeaf::Peer &) {});
   std::vector<LeafAnswer> Answers;
-  const LeafCallPtr Call = Test.call("a", Answers);
+  const ChannelCallPtr Call = Test.call("a", Answers);
   DOCTEST_REQUIRE(Test.until([&] { return !Test.Leaf.Requests.empty(); }));
   DOCTEST_CHECK(Test.Channel->abandon(Call));
   // Half a second after its caller has left, a leaf must no longer work.
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -437,3 +437,33 @@
   Test.Fleet.update(Test.Registry, Test.Routes.get(), Bounds, 1, Clock::now());
   DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "new");
 }
+
+DOCTEST_TEST_CASE(
+    "what was counted of a route goes with it; calls in work do not "
+    "mind") {
+  Fixture Test;
+  RawLeaf::Peer *Held = nullptr;
+  std::string Head;
+  Test.leaf("a", [&](const std::string &Asked, RawLeaf::Peer &To) {
+    Held = &To;
+    Head = Asked;
+  });
+  Test.routes(forward(RequestKind::NonIdempotent));
+  boost::asio::steady_timer Later(Test.Io, Milliseconds(1));
+  std::function<void()> Replace = [&] {
+    Later.expires_after(Milliseconds(5));
+    Later.async_wait([&](auto) {
+      if (!Held) {
+        Replace();
+        return;
+      }
+      Test.Routes.offer(std::make_shared<const RouteTable>(
+          2, std::vector<Route>{}, std::vector<ServiceSpec>{}, CallerLimits{}));
+      Test.Fleet.update(Test.Registry, Test.Routes.get(), {}, 1, Clock::now());
+      Held->write(RawLeaf::answer(Head, "good"));
+    });
+  };
+  Replace();
+  DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
+  DOCTEST_CHECK(status(Test.ask(Fixture::request("/p/x"))) == 404);
+}
