--- a/citronlever/src/Gateway/AdmissionLine.cpp
+++ b/citronlever/src/Gateway/AdmissionLine.cpp
@@ -15,7 +15,7 @@
 /// has spent time before: it was refused and has come back.
 constexpr double ReturningPart = 0.97;
 
-const std::string &gateName(const Route &Of) {
+const std::string &gateName(const RouteSpec &Of) {
   return Of.scatters() ? Of.Shards.front() : Of.Targets.front().Name;
 }
 
@@ -53,7 +53,7 @@
   void adapt(TimePoint Now) {
     if (!this->Gate.Decision.due(Now))
       return;
-    const Route &Of = *this->Spec.Of;
+    const RouteSpec &Of = *this->Spec.Of;
     double Queue = 0;
     if (Of.scatters())
       Queue = this->Context.Fleet.meanQueue(Of.Shards, Now);
@@ -66,7 +66,7 @@
   }
 
   void wait(TimePoint Now) {
-    const Route &Of = *this->Spec.Of;
+    const RouteSpec &Of = *this->Spec.Of;
     this->Place.Id = ++this->Gate.LastId;
     this->Place.Priority = Of.Priority;
     this->Place.Returning =
--- a/citronlever/src/Gateway/CallerServer.h
+++ b/citronlever/src/Gateway/CallerServer.h
@@ -2,7 +2,7 @@
 
 #include "citronlever/src/Core/Endpoint.h"
 #include "citronlever/src/Gateway/CallerRequest.h"
-#include "citronlever/src/Routing/Route.h"
+#include "citronlever/src/Routing/RouteSpec.h"
 
 #include <boost/asio/io_context.hpp>
 
--- a/citronlever/src/Gateway/LeafAnswer.h
+++ b/citronlever/src/Gateway/ChannelAnswer.h
@@ -9,7 +9,7 @@
 namespace citronlever {
 
 /// What became of one call to one leaf.
-enum class LeafOutcome : std::uint8_t {
+enum class ChannelOutcome : std::uint8_t {
   /// A whole answer to this very request.
   Answered,
   /// The leaf said that it has not run the request and will not.
@@ -21,8 +21,8 @@
 };
 
 /// Outcome of one call, with the answer if there is one.
-struct LeafAnswer {
-  LeafOutcome Outcome = LeafOutcome::NotSent;
+struct ChannelAnswer {
+  ChannelOutcome Outcome = ChannelOutcome::NotSent;
   HttpResponse Response;
   /// From sending to the whole answer.
   Duration Latency{};
--- a/citronlever/src/Gateway/ForwardRun.cpp
+++ b/citronlever/src/Gateway/ForwardRun.cpp
@@ -37,7 +37,7 @@
 
 private:
   std::string service() {
-    const Route &Of = *this->Spec.Of;
+    const RouteSpec &Of = *this->Spec.Of;
     if (Of.Targets.size() == 1)
       return Of.Targets.front().Name;
     const auto [Rotation, New] = this->Context.Rotations.try_emplace(
--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -21,7 +21,7 @@
 
 void LeafChannel::call(const ChannelCallPtr &Call) {
   if (this->Retired) {
-    LeafAnswer Result;
+    ChannelAnswer Result;
     Result.Reason = "leaf is leaving";
     this->callEnded(Call, std::move(Result));
     return;
@@ -100,19 +100,19 @@
   std::deque<ChannelCallPtr> Failed;
   Failed.swap(this->Waiting);
   for (const ChannelCallPtr &Call : Failed) {
-    LeafAnswer Result;
+    ChannelAnswer Result;
     Result.Reason = std::string(Reason);
     this->callEnded(Call, std::move(Result));
   }
 }
 
-void LeafChannel::callEnded(const ChannelCallPtr &Call, LeafAnswer Answer) {
+void LeafChannel::callEnded(const ChannelCallPtr &Call, ChannelAnswer Answer) {
   const TimePoint Now = Clock::now();
   const bool Failure =
-      Answer.Outcome == LeafOutcome::Lost || Answer.Response.Status >= 500;
-  if (Answer.Outcome == LeafOutcome::NotRun)
+      Answer.Outcome == ChannelOutcome::Lost || Answer.Response.Status >= 500;
+  if (Answer.Outcome == ChannelOutcome::NotRun)
     this->Stats.shed(Call->Id, Now);
-  else if (Call->Done && Answer.Outcome == LeafOutcome::Lost)
+  else if (Call->Done && Answer.Outcome == ChannelOutcome::Lost)
     this->Stats.abandoned(Call->Id, Call->Typical, Now);
   else if (Failure)
     this->Stats.failed(Call->Id);
--- a/citronlever/src/Gateway/LeafChannel.h
+++ b/citronlever/src/Gateway/LeafChannel.h
@@ -3,7 +3,7 @@
 #include "citronlever/src/Core/Time.h"
 #include "citronlever/src/Dispatch/ColdGate.h"
 #include "citronlever/src/Dispatch/ReplicaStats.h"
-#include "citronlever/src/Gateway/LeafAnswer.h"
+#include "citronlever/src/Gateway/ChannelAnswer.h"
 #include "citronlever/src/Gateway/LeafRequest.h"
 #include "citronlever/src/Registry/LeafEntry.h"
 
@@ -44,7 +44,7 @@
   ReplicaStats::CallId Id = 0;
   LeafRequestPtr Request;
   /// Runs once, unless the call is abandoned before.
-  std::function<void(LeafAnswer)> Then;
+  std::function<void(ChannelAnswer)> Then;
   /// Runs when the bytes are handed to a connection.
   std::function<void(TimePoint)> OnSent;
   Duration Typical{};
@@ -99,7 +99,7 @@
   void linkGone(const std::shared_ptr<LeafLink> &Link);
   void linkFailed(const std::shared_ptr<LeafLink> &Link,
                   std::string_view Reason);
-  void callEnded(const ChannelCallPtr &Call, LeafAnswer Answer);
+  void callEnded(const ChannelCallPtr &Call, ChannelAnswer Answer);
   void failWaiting(std::string_view Reason);
 
   boost::asio::io_context &Context;
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -64,7 +64,7 @@
 void LeafFleet::prune(const RouteTable &Routes) {
   this->PrunedBy = Routes.version();
   std::set<std::string_view> Names;
-  for (const Route &Entry : Routes.routes())
+  for (const RouteSpec &Entry : Routes.routes())
     Names.insert(Entry.Name);
   std::erase_if(this->Figures,
                 [&](const auto &Item) { return !Names.contains(Item.first); });
@@ -188,7 +188,7 @@
   return Found->second;
 }
 
-RouteFigures &LeafFleet::figures(const Route &Of) {
+RouteFigures &LeafFleet::figures(const RouteSpec &Of) {
   auto Found = this->Figures.find(Of.Name);
   if (Found == this->Figures.end())
     Found =
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -61,7 +61,7 @@
   double meanQueue(std::span<const std::string> Services, TimePoint Now);
 
   ExtraSendWindow &extraSends(std::string_view Service);
-  RouteFigures &figures(const Route &Of);
+  RouteFigures &figures(const RouteSpec &Of);
 
   /// Runs \p Use for each leaf that may be used.
   void each(const std::function<void(LeafChannel &)> &Use) const {
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -31,8 +31,9 @@
 
 } // namespace
 
-ReplicaCall::ReplicaCall(LeafFleet &Fleet, const Route &Of, std::string Service,
-                         LeafRequestPtr Request, Handler Then)
+ReplicaCall::ReplicaCall(LeafFleet &Fleet, const RouteSpec &Of,
+                         std::string Service, LeafRequestPtr Request,
+                         Handler Then)
     : Fleet(Fleet), Of(Of), Service(std::move(Service)),
       Request(std::move(Request)), Then(std::move(Then)) {}
 
@@ -99,7 +100,7 @@
   Call->Request = this->Request;
   Call->Typical = Figures.typical();
   Call->Then = [Self = this->shared_from_this(),
-                Weak = std::weak_ptr(Call)](LeafAnswer Answer) {
+                Weak = std::weak_ptr(Call)](ChannelAnswer Answer) {
     if (const ChannelCallPtr Ended = Weak.lock())
       Self->ended(Ended, std::move(Answer));
   };
@@ -111,7 +112,7 @@
   Leaf->call(Call);
 }
 
-void ReplicaCall::ended(const ChannelCallPtr &Call, LeafAnswer Answer) {
+void ReplicaCall::ended(const ChannelCallPtr &Call, ChannelAnswer Answer) {
   const auto Found = std::ranges::find(this->InFlight, Call, &Send::Call);
   if (this->Finished || Found == this->InFlight.end())
     return;
@@ -120,9 +121,10 @@
   this->decide(From, std::move(Answer), Clock::now());
 }
 
-void ReplicaCall::decide(const Send &From, LeafAnswer Answer, TimePoint Now) {
+void ReplicaCall::decide(const Send &From, ChannelAnswer Answer,
+                         TimePoint Now) {
   this->Reason = Answer.Reason;
-  if (Answer.Outcome == LeafOutcome::NotSent) {
+  if (Answer.Outcome == ChannelOutcome::NotSent) {
     if (From.Extra)
       this->Fleet.extraSends(this->Service).giveBack();
     if (++this->FreeSends < MaxFreeSends && this->sendNext(From.Extra, Now))
@@ -131,16 +133,16 @@
       this->fail();
     return;
   }
-  if (Answer.Outcome == LeafOutcome::NotRun) {
+  if (Answer.Outcome == ChannelOutcome::NotRun) {
     this->sendAgain(Now);
     return;
   }
   if (std::ranges::find(this->Used, From.Leaf) == this->Used.end())
     this->Used.push_back(From.Leaf);
-  this->Ran = combine(this->Ran, Answer.Outcome == LeafOutcome::Answered
+  this->Ran = combine(this->Ran, Answer.Outcome == ChannelOutcome::Answered
                                      ? Verdict::Ran
                                      : Verdict::MayHaveRun);
-  if (Answer.Outcome == LeafOutcome::Answered) {
+  if (Answer.Outcome == ChannelOutcome::Answered) {
     const int Status = Answer.Response.Status;
     if (Status >= 200 && Status < 300)
       this->Fleet.figures(this->Of).answered(Answer.Latency, Now);
--- a/citronlever/src/Gateway/ReplicaCall.h
+++ b/citronlever/src/Gateway/ReplicaCall.h
@@ -28,7 +28,7 @@
   using Handler = std::function<void(ReplicaResult)>;
 
   /// \p Of must outlive the call.
-  ReplicaCall(LeafFleet &Fleet, const Route &Of, std::string Service,
+  ReplicaCall(LeafFleet &Fleet, const RouteSpec &Of, std::string Service,
               LeafRequestPtr Request, Handler Then);
 
   void start(TimePoint Now);
@@ -53,8 +53,8 @@
 
   bool sendNext(bool Extra, TimePoint Now);
   void send(const LeafChannelPtr &Leaf, bool Extra, TimePoint Now);
-  void ended(const ChannelCallPtr &Call, LeafAnswer Answer);
-  void decide(const Send &From, LeafAnswer Answer, TimePoint Now);
+  void ended(const ChannelCallPtr &Call, ChannelAnswer Answer);
+  void decide(const Send &From, ChannelAnswer Answer, TimePoint Now);
   void sendAgain(TimePoint Now);
   void reroute(TimePoint Now);
   void hedge(TimePoint Now);
@@ -66,7 +66,7 @@
   LeafChannelPtr chooseAgain(TimePoint Now);
 
   LeafFleet &Fleet;
-  const Route &Of;
+  const RouteSpec &Of;
   std::string Service;
   LeafRequestPtr Request;
   Handler Then;
--- a/citronlever/src/Gateway/RequestChain.h
+++ b/citronlever/src/Gateway/RequestChain.h
@@ -10,7 +10,7 @@
 struct RequestFrame {
   CallerRequestPtr Request;
   RouteTablePtr Routes;
-  const Route *Of = nullptr;
+  const RouteSpec *Of = nullptr;
   Duration CallerWaits{};
 };
 
--- a/citronlever/src/Gateway/Runs.h
+++ b/citronlever/src/Gateway/Runs.h
@@ -12,7 +12,7 @@
   CallerRequestPtr Request;
   /// Keeps \c Of alive: a request stays with the version that it began with.
   RouteTablePtr Routes;
-  const Route *Of = nullptr;
+  const RouteSpec *Of = nullptr;
   /// What the caller says that it will wait.
   Duration CallerWaits{};
 };
--- a/citronlever/src/Gateway/ScatterRun.cpp
+++ b/citronlever/src/Gateway/ScatterRun.cpp
@@ -16,7 +16,7 @@
   ScatterRun(RunContext &Context, RunSpec Spec, AnswerCaller Answer)
       : Context(Context), Spec(std::move(Spec)), Answer(std::move(Answer)),
         Times(runTimes(this->Spec, Context.Delay)), Timer(Context.Io) {
-    const Route &Of = *this->Spec.Of;
+    const RouteSpec &Of = *this->Spec.Of;
     this->Gathered.Shards = Of.Shards.size();
     this->Gathered.Open = Of.Shards.size();
     this->Gathered.LeastCoverage = Of.LeastCoverage;
@@ -25,7 +25,7 @@
   }
 
   void start() {
-    const Route &Of = *this->Spec.Of;
+    const RouteSpec &Of = *this->Spec.Of;
     const auto Request = std::make_shared<const LeafRequest>(
         this->Spec.Request->Http, this->Context.Names,
         this->Times.LeafDeadline);
--- a/citronlever/src/Gateway/internal/LeafLink.cpp
+++ b/citronlever/src/Gateway/internal/LeafLink.cpp
@@ -189,7 +189,7 @@
   const bool KeepAlive = this->Answer->keep_alive() && !this->Writing &&
                          this->Buffer.size() == 0 && this->usable(Clock::now());
   const std::string KeepAliveField(Message["Keep-Alive"]);
-  LeafAnswer Result = this->decode();
+  ChannelAnswer Result = this->decode();
   const ChannelCallPtr Call = std::move(this->Current);
   this->Current = nullptr;
   this->Timer.cancel();
@@ -200,10 +200,10 @@
   Channel->callEnded(Call, std::move(Result));
 }
 
-LeafAnswer LeafLink::decode() {
+ChannelAnswer LeafLink::decode() {
   const auto Channel = this->Owner.lock();
   const TimePoint Now = Clock::now();
-  LeafAnswer Result;
+  ChannelAnswer Result;
   Result.Latency = Now - this->Current->SentAt;
   ReportedLoad Load;
   auto Message = this->Answer->release();
@@ -215,22 +215,22 @@
   Result.Response.Body = std::move(Message.body());
   if (Result.Response.Status == 421) {
     Channel->Misdirected = true;
-    Result.Outcome = LeafOutcome::NotRun;
+    Result.Outcome = ChannelOutcome::NotRun;
     Result.Reason = "another leaf has the address";
     return Result;
   }
   if (Result.Response.Headers.has(Channel->Names.NotRun)) {
-    Result.Outcome = LeafOutcome::NotRun;
+    Result.Outcome = ChannelOutcome::NotRun;
     Result.Reason = "refused by the leaf";
     return Result;
   }
-  Result.Outcome = LeafOutcome::Answered;
+  Result.Outcome = ChannelOutcome::Answered;
   const bool Success =
       Result.Response.Status >= 200 && Result.Response.Status < 300;
   if (Success &&
       (!Result.Response.Headers.has(Channel->Names.AnswerSignature) ||
        Result.Response.Headers.has("Content-Encoding"))) {
-    Result.Outcome = LeafOutcome::Lost;
+    Result.Outcome = ChannelOutcome::Lost;
     Result.Reason = "success without a signature or with an encoding";
   }
   return Result;
@@ -272,8 +272,8 @@
   }
   Channel->linkGone(Self);
   if (Call) {
-    LeafAnswer Result;
-    Result.Outcome = LeafOutcome::Lost;
+    ChannelAnswer Result;
+    Result.Outcome = ChannelOutcome::Lost;
     Result.Reason = std::string(Reason);
     Channel->callEnded(Call, std::move(Result));
   }
--- a/citronlever/src/Gateway/internal/LeafLink.h
+++ b/citronlever/src/Gateway/internal/LeafLink.h
@@ -43,7 +43,7 @@
   void parse();
   void ended(boost::system::error_code Failure);
   void answered();
-  LeafAnswer decode();
+  ChannelAnswer decode();
   void beginParser();
   void keep(std::string_view KeepAliveField);
   void shut();
--- a/citronlever/src/Routing/Route.h
+++ b/citronlever/src/Routing/RouteSpec.h
@@ -19,7 +19,7 @@
 
 /// Where requests of one host and path prefix go, and what they are promised.
 /// Exactly one of \c Targets and \c Shards is filled.
-struct Route {
+struct RouteSpec {
   std::string Name;
   std::string Host;
   /// Begins and ends with a slash.
--- a/citronlever/src/Routing/RouteTable.cpp
+++ b/citronlever/src/Routing/RouteTable.cpp
@@ -16,19 +16,19 @@
   return Result;
 }
 
-RouteTable::RouteTable(std::uint64_t Version, std::vector<Route> Routes,
+RouteTable::RouteTable(std::uint64_t Version, std::vector<RouteSpec> Routes,
                        std::vector<ServiceSpec> Services, CallerLimits Limits)
     : Version(Version), Routes(std::move(Routes)), Limits(Limits) {
   for (ServiceSpec &Spec : Services)
     this->Services.insert_or_assign(Spec.Name, Spec);
   for (std::size_t At = 0; At < this->Routes.size(); ++At) {
-    const Route &Entry = this->Routes[At];
+    const RouteSpec &Entry = this->Routes[At];
     this->ByHost[hostKey(Entry.Host)][Entry.PathPrefix] = At;
   }
 }
 
-const Route *RouteTable::match(std::string_view Host,
-                               std::string_view Path) const {
+const RouteSpec *RouteTable::match(std::string_view Host,
+                                   std::string_view Path) const {
   const auto OfHost = this->ByHost.find(hostKey(Host));
   if (OfHost == this->ByHost.end())
     return nullptr;
@@ -52,7 +52,7 @@
 
 int RouteTable::leastConnectionCap() const {
   int Least = std::numeric_limits<int>::max();
-  for (const Route &Entry : this->Routes)
+  for (const RouteSpec &Entry : this->Routes)
     for (const std::string &Shard : Entry.Shards)
       if (const ServiceSpec *Spec = this->service(Shard))
         Least = std::min(Least, Spec->ConnectionCap);
--- a/citronlever/src/Routing/RouteTable.h
+++ b/citronlever/src/Routing/RouteTable.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "citronlever/src/Routing/Route.h"
+#include "citronlever/src/Routing/RouteSpec.h"
 
 #include <map>
 #include <memory>
@@ -13,12 +13,12 @@
 /// request that keeps its table sees one version from beginning to end.
 class RouteTable {
 public:
-  RouteTable(std::uint64_t Version, std::vector<Route> Routes,
+  RouteTable(std::uint64_t Version, std::vector<RouteSpec> Routes,
              std::vector<ServiceSpec> Services, CallerLimits Limits);
 
   /// \returns the route of \p Host with the longest prefix of \p Path, or
   /// null. \p Host may carry a port; its case does not matter.
-  const Route *match(std::string_view Host, std::string_view Path) const;
+  const RouteSpec *match(std::string_view Host, std::string_view Path) const;
 
   /// \returns the service \p Name, or null.
   const ServiceSpec *service(std::string_view Name) const;
@@ -29,11 +29,11 @@
 
   std::uint64_t version() const { return this->Version; }
   const CallerLimits &limits() const { return this->Limits; }
-  const std::vector<Route> &routes() const { return this->Routes; }
+  const std::vector<RouteSpec> &routes() const { return this->Routes; }
 
 private:
   std::uint64_t Version;
-  std::vector<Route> Routes;
+  std::vector<RouteSpec> Routes;
   std::map<std::string, ServiceSpec, std::less<>> Services;
   CallerLimits Limits;
   /// Host, then path prefix; values index \c Routes.
--- a/citronlever/src/Routing/WeightRotation.h
+++ b/citronlever/src/Routing/WeightRotation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "citronlever/src/Routing/Route.h"
+#include "citronlever/src/Routing/RouteSpec.h"
 
 #include <map>
 #include <span>
--- a/test/Gateway/LeafChannelTest.cpp
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -24,7 +24,8 @@
     this->Channel->setMaxConnections(2);
   }
 
-  ChannelCallPtr call(const std::string &Id, std::vector<LeafAnswer> &Answers,
+  ChannelCallPtr call(const std::string &Id,
+                      std::vector<ChannelAnswer> &Answers,
                       const std::string &Method = "GET") {
     HttpRequest Http;
     Http.Method = Method;
@@ -35,7 +36,7 @@
     Call->Request = std::make_shared<LeafRequest>(Http, TestNames,
                                                   Clock::now() + Seconds(5));
     Call->Typical = Milliseconds(10);
-    Call->Then = [&Answers](LeafAnswer Answer) {
+    Call->Then = [&Answers](ChannelAnswer Answer) {
       Answers.push_back(std::move(Answer));
     };
     this->Channel->call(Call);
@@ -49,8 +50,8 @@
     return Holds();
   }
 
-  LeafAnswer one(const std::string &Id) {
-    std::vector<LeafAnswer> Answers;
+  ChannelAnswer one(const std::string &Id) {
+    std::vector<ChannelAnswer> Answers;
     this->call(Id, Answers);
     DOCTEST_REQUIRE(this->until([&] { return !Answers.empty(); }));
     return Answers.front();
@@ -63,10 +64,10 @@
   Fixture Test([](const std::string &Head, RawLeaf::Peer &To) {
     To.write(RawLeaf::answer(Head, "body"));
   });
-  const LeafAnswer First = Test.one("a");
-  DOCTEST_CHECK((First.Outcome == LeafOutcome::Answered));
+  const ChannelAnswer First = Test.one("a");
+  DOCTEST_CHECK((First.Outcome == ChannelOutcome::Answered));
   DOCTEST_CHECK(First.Response.Body == "body");
-  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK((Test.one("b").Outcome == ChannelOutcome::Answered));
   DOCTEST_CHECK(Test.Leaf.Accepted == 1);
   DOCTEST_CHECK(RawLeaf::field(Test.Leaf.Requests[0], "X-Leaf") == "leaf-1");
   const int Left =
@@ -81,8 +82,8 @@
              "Content-Length: 5\r\n\r\nother" +
              RawLeaf::answer(Head, "mine"));
   });
-  const LeafAnswer Came = Test.one("a");
-  DOCTEST_CHECK((Came.Outcome == LeafOutcome::Answered));
+  const ChannelAnswer Came = Test.one("a");
+  DOCTEST_CHECK((Came.Outcome == ChannelOutcome::Answered));
   DOCTEST_CHECK(Came.Response.Body == "mine");
   DOCTEST_CHECK(Test.one("b").Response.Body == "mine");
   DOCTEST_CHECK(Test.Leaf.Accepted == 2);
@@ -101,7 +102,7 @@
   Fixture Test([](const std::string &Head, RawLeaf::Peer &To) {
     To.write(RawLeaf::answer(Head, "mine"));
   });
-  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK((Test.one("a").Outcome == ChannelOutcome::Answered));
   Test.Leaf.Serve = [](const std::string &Head, RawLeaf::Peer &To) {
     To.write(RawLeaf::answer(Head, "new"));
     To.write(RawLeaf::answer(Head, "new"));
@@ -118,7 +119,7 @@
     To.write(Bytes);
     To.close();
   });
-  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::Lost));
+  DOCTEST_CHECK((Test.one("a").Outcome == ChannelOutcome::Lost));
 }
 
 DOCTEST_TEST_CASE("an answer without a length ends with its connection, unless "
@@ -132,11 +133,11 @@
     else
       To.close();
   });
-  const LeafAnswer Whole = Test.one("a");
-  DOCTEST_CHECK((Whole.Outcome == LeafOutcome::Answered));
+  const ChannelAnswer Whole = Test.one("a");
+  DOCTEST_CHECK((Whole.Outcome == ChannelOutcome::Answered));
   DOCTEST_CHECK(Whole.Response.Body == "body");
   Reset = true;
-  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Lost));
+  DOCTEST_CHECK((Test.one("b").Outcome == ChannelOutcome::Lost));
 }
 
 DOCTEST_TEST_CASE(
@@ -146,12 +147,12 @@
   Fixture Test(
       [&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
   Bytes = "\x01\x02 nonsense\r\n\r\n";
-  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::Lost));
+  DOCTEST_CHECK((Test.one("a").Outcome == ChannelOutcome::Lost));
   Bytes = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
-  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Lost));
+  DOCTEST_CHECK((Test.one("b").Outcome == ChannelOutcome::Lost));
   Bytes = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Encoding: gzip\r\n"
           "Content-Length: 0\r\n\r\n";
-  DOCTEST_CHECK((Test.one("c").Outcome == LeafOutcome::Lost));
+  DOCTEST_CHECK((Test.one("c").Outcome == ChannelOutcome::Lost));
 }
 
 DOCTEST_TEST_CASE(
@@ -161,12 +162,12 @@
   Fixture Test(
       [&](const std::string &, RawLeaf::Peer &To) { To.write(Bytes); });
   Bytes = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
-  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::NotRun));
+  DOCTEST_CHECK((Test.one("a").Outcome == ChannelOutcome::NotRun));
   DOCTEST_CHECK(!Test.Channel->misdirected());
   Bytes = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
-  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK((Test.one("b").Outcome == ChannelOutcome::Answered));
   Bytes = "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n";
-  DOCTEST_CHECK((Test.one("c").Outcome == LeafOutcome::NotRun));
+  DOCTEST_CHECK((Test.one("c").Outcome == ChannelOutcome::NotRun));
   DOCTEST_CHECK(Test.Channel->misdirected());
 }
 
@@ -177,7 +178,7 @@
     RawLeaf Gone(Other, [](const std::string &, RawLeaf::Peer &) {});
     Test.Channel->entry().Address = Gone.address();
   }
-  DOCTEST_CHECK((Test.one("a").Outcome == LeafOutcome::NotSent));
+  DOCTEST_CHECK((Test.one("a").Outcome == ChannelOutcome::NotSent));
   DOCTEST_CHECK(!Test.Channel->stats().available(Clock::now()));
 }
 
@@ -185,7 +186,7 @@
     "an abandoned call is cancelled by closing its connection after "
     "a short grace") {
   Fixture Test([](const std::string &, RawLeaf::Peer &) {});
-  std::vector<LeafAnswer> Answers;
+  std::vector<ChannelAnswer> Answers;
   const ChannelCallPtr Call = Test.call("a", Answers);
   DOCTEST_REQUIRE(Test.until([&] { return !Test.Leaf.Requests.empty(); }));
   DOCTEST_CHECK(Test.Channel->abandon(Call));
@@ -204,14 +205,14 @@
     Held = &To;
     HeldHead = Head;
   });
-  std::vector<LeafAnswer> Answers;
+  std::vector<ChannelAnswer> Answers;
   Test.call("a", Answers);
   DOCTEST_REQUIRE(Test.until([&] { return Held != nullptr; }));
   Test.Channel->retire("leaving");
-  DOCTEST_CHECK((Test.one("b").Outcome == LeafOutcome::NotSent));
+  DOCTEST_CHECK((Test.one("b").Outcome == ChannelOutcome::NotSent));
   Held->write(RawLeaf::answer(HeldHead, "late"));
   DOCTEST_CHECK(Test.until([&] { return !Answers.empty(); }));
-  DOCTEST_CHECK((Answers[0].Outcome == LeafOutcome::Answered));
+  DOCTEST_CHECK((Answers[0].Outcome == ChannelOutcome::Answered));
 }
 
 DOCTEST_TEST_CASE("headers of one connection are dropped, all others kept") {
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -52,7 +52,7 @@
     return *this->Leaves.back();
   }
 
-  void routes(Route Of) {
+  void routes(RouteSpec Of) {
     Of.Name = "r";
     Of.Host = "h.example";
     Of.PathPrefix = "/p/";
@@ -60,7 +60,7 @@
     for (const char *Name : {"a", "b", "c"})
       Services.push_back({Name, "/health", 20, 0});
     this->Routes.offer(std::make_shared<const RouteTable>(
-        1, std::vector<Route>{Of}, Services, CallerLimits{}));
+        1, std::vector<RouteSpec>{Of}, Services, CallerLimits{}));
     this->Fleet.update(this->Registry, this->Routes.get(), {}, 1, Clock::now());
     this->grantExtraSends();
   }
@@ -135,8 +135,8 @@
 /// machine too. The exact times are checked where they are decided.
 constexpr Duration Early = Seconds(4);
 
-Route forward(RequestKind Kind, int Attempts = 2) {
-  Route Result;
+RouteSpec forward(RequestKind Kind, int Attempts = 2) {
+  RouteSpec Result;
   Result.Kind = Kind;
   Result.Attempts = Attempts;
   Result.Targets = {{"a", 1}};
@@ -145,8 +145,8 @@
   return Result;
 }
 
-Route scatter() {
-  Route Result = forward(RequestKind::Idempotent);
+RouteSpec scatter() {
+  RouteSpec Result = forward(RequestKind::Idempotent);
   Result.Targets.clear();
   Result.Shards = {"a", "b", "c"};
   Result.TopRecords = 2;
@@ -285,7 +285,7 @@
 DOCTEST_TEST_CASE("the route's time-out ends a request with a final answer") {
   Fixture Test;
   Test.leaf("a", silent);
-  Route Of = forward(RequestKind::NonIdempotent);
+  RouteSpec Of = forward(RequestKind::NonIdempotent);
   Of.Timeout = Milliseconds(200);
   Test.routes(Of);
   const TimePoint Began = Clock::now();
@@ -458,7 +458,8 @@
         return;
       }
       Test.Routes.offer(std::make_shared<const RouteTable>(
-          2, std::vector<Route>{}, std::vector<ServiceSpec>{}, CallerLimits{}));
+          2, std::vector<RouteSpec>{}, std::vector<ServiceSpec>{},
+          CallerLimits{}));
       Test.Fleet.update(Test.Registry, Test.Routes.get(), {}, 1, Clock::now());
       Held->write(RawLeaf::answer(Head, "good"));
     });
--- a/test/Routing/RouteTableTest.cpp
+++ b/test/Routing/RouteTableTest.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-Route route(std::string Name, std::string Host, std::string Prefix) {
-  Route Result;
+RouteSpec route(std::string Name, std::string Host, std::string Prefix) {
+  RouteSpec Result;
   Result.Name = std::move(Name);
   Result.Host = std::move(Host);
   Result.PathPrefix = std::move(Prefix);
@@ -17,22 +17,22 @@
   return Result;
 }
 
-RouteTablePtr table(std::uint64_t Version, std::vector<Route> Routes) {
+RouteTablePtr table(std::uint64_t Version, std::vector<RouteSpec> Routes) {
   return std::make_shared<const RouteTable>(
       Version, std::move(Routes), std::vector<ServiceSpec>{}, CallerLimits{});
 }
 
 std::string found(const RouteTable &Table, std::string_view Host,
                   std::string_view Path) {
-  const Route *Match = Table.match(Host, Path);
+  const RouteSpec *Match = Table.match(Host, Path);
   return Match ? Match->Name : "";
 }
 
 /// The rule as it is stated, without an index.
 std::string naive(const RouteTable &Table, std::string_view Host,
                   std::string_view Path) {
-  const Route *Best = nullptr;
-  for (const Route &Entry : Table.routes())
+  const RouteSpec *Best = nullptr;
+  for (const RouteSpec &Entry : Table.routes())
     if (Entry.Host == Host && Path.starts_with(Entry.PathPrefix) &&
         (!Best || Entry.PathPrefix.size() > Best->PathPrefix.size()))
       Best = &Entry;
@@ -71,13 +71,13 @@
   DOCTEST_INFO("seed " << Seed);
   std::mt19937 Random(Seed);
   for (int Round = 0; Round < 200; ++Round) {
-    std::vector<Route> Routes;
+    std::vector<RouteSpec> Routes;
     for (int At = 0; At < 12; ++At) {
       std::string Prefix = randomPath(Random);
       if (Prefix.back() != '/')
         Prefix += '/';
       // A later route of the same prefix replaces an earlier one.
-      std::erase_if(Routes, [&](const Route &Entry) {
+      std::erase_if(Routes, [&](const RouteSpec &Entry) {
         return Entry.PathPrefix == Prefix;
       });
       Routes.push_back(route("r" + std::to_string(At), "h", Prefix));
--- a/test/UsersPlatform/DocumentsTest.cpp
+++ b/test/UsersPlatform/DocumentsTest.cpp
@@ -64,13 +64,13 @@
 DOCTEST_TEST_CASE("a configuration becomes routes, services and limits") {
   const RouteTablePtr Table = platform::decodeRoutes(Configuration);
   DOCTEST_CHECK(Table->version() == 7);
-  const Route *Scatter = Table->match("h.example", "/a/x");
+  const RouteSpec *Scatter = Table->match("h.example", "/a/x");
   DOCTEST_REQUIRE(Scatter);
   DOCTEST_CHECK(Scatter->Shards == std::vector<std::string>{"s1", "s2"});
   DOCTEST_CHECK((Scatter->Kind == RequestKind::Idempotent));
   DOCTEST_CHECK(Scatter->LeastCoverage == 0.75);
   DOCTEST_CHECK((Scatter->LatencyObjective == Milliseconds(50)));
-  const Route *Weighted = Table->match("h.example", "/b/x");
+  const RouteSpec *Weighted = Table->match("h.example", "/b/x");
   DOCTEST_REQUIRE(Weighted);
   DOCTEST_CHECK((Weighted->Kind == RequestKind::NonIdempotent));
   DOCTEST_CHECK(Weighted->Targets.size() == 2);
