Bound the wait for output that nobody reads; write times as Unix milliseconds

Cause: a reader of standard output that stops reading would have held up the end of the process, since the writer's thread was joined while it wrote; seen by reading the code. Tests: a pipe that is not read, a burst of 10,000 events, a full queue.

--- a/citronlever/src/Core/LogWriter.cpp
+++ b/citronlever/src/Core/LogWriter.cpp
@@ -2,9 +2,11 @@
 
 #include <boost/json.hpp>
 
+#include <poll.h>
 #include <unistd.h>
 
-#include <cerrno>
+#include <algorithm>
+#include <climits>
 
 namespace citronlever {
 
@@ -22,24 +24,12 @@
   return "error";
 }
 
-double unixSeconds() {
-  return std::chrono::duration<double>(
+long long unixMilliseconds() {
+  return std::chrono::duration_cast<Milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
       .count();
 }
 
-void writeAll(std::string_view Text) {
-  while (!Text.empty()) {
-    const ssize_t Done = ::write(STDOUT_FILENO, Text.data(), Text.size());
-    if (Done < 0 && errno == EINTR)
-      continue;
-    // Nobody is left to be told that standard output fails.
-    if (Done <= 0)
-      return;
-    Text.remove_prefix(static_cast<std::size_t>(Done));
-  }
-}
-
 } // namespace
 
 LogWriter::LogWriter(std::string Process, LogWriterSettings Settings)
@@ -76,7 +66,7 @@
     ++this->Dropped;
     return;
   }
-  boost::json::object Line = {{"time", unixSeconds()},
+  boost::json::object Line = {{"time", unixMilliseconds()},
                               {"process", this->Process},
                               {"severity", name(Kind.Level)},
                               {"event", Kind.Number},
@@ -96,6 +86,22 @@
   return this->Dropped;
 }
 
+bool LogWriter::writeAll(std::string_view Text) const {
+  const int WaitMs = static_cast<int>(toMs(this->Settings.OutputWait));
+  while (!Text.empty()) {
+    pollfd Ready = {this->Settings.Output, POLLOUT, 0};
+    if (::poll(&Ready, 1, WaitMs) <= 0)
+      return false;
+    // So much does not block once the descriptor is ready.
+    const ssize_t Done = ::write(this->Settings.Output, Text.data(),
+                                 std::min<std::size_t>(Text.size(), PIPE_BUF));
+    if (Done <= 0)
+      return false;
+    Text.remove_prefix(static_cast<std::size_t>(Done));
+  }
+  return true;
+}
+
 void LogWriter::run() {
   std::unique_lock Lock(this->Mutex);
   while (true) {
@@ -111,10 +117,12 @@
     std::string Text;
     for (const std::string &Line : Batch)
       Text += Line;
-    writeAll(Text);
+    const bool Written = this->writeAll(Text);
+    Lock.lock();
+    if (!Written)
+      this->Dropped += Batch.size();
     if (Last)
       return;
-    Lock.lock();
   }
 }
 
--- a/citronlever/src/Core/LogWriter.h
+++ b/citronlever/src/Core/LogWriter.h
@@ -19,12 +19,17 @@
   std::size_t MaxQueued = 4096;
   /// Lines of one kind of event in a second; further ones are counted.
   int MaxPerKind = 50;
+  /// File descriptor that lines are written to.
+  int Output = 1;
+  /// Time for which output that nobody reads is waited for; the lines are
+  /// dropped and counted then.
+  Duration OutputWait = Milliseconds(500);
   /// Time for which lines are collected before they are written.
   Duration Batch = Milliseconds(200);
 };
 
-/// Writes each logged event as one JSON line to standard output, from one
-/// thread of its own: a reader that does not read holds up no request.
+/// Writes each logged event as one JSON line, from one thread of its own: a
+/// reader that does not read holds up neither a request nor the process's end.
 class LogWriter {
 public:
   /// \param Process name of this process, in every line.
@@ -46,6 +51,7 @@
   };
 
   void run();
+  bool writeAll(std::string_view Text) const;
   bool admit(KindRate &Rate, TimePoint Now) const;
 
   const std::string Process;
