--- a/test/UsersPlatform/EdgeTest.cpp
+++ b/test/UsersPlatform/EdgeTest.cpp
@@ -59,7 +59,7 @@
     auto Request = std::make_shared<HttpRequest>();
     Request->Target = Target;
     int Status = 0;
-    Handler(Request, [&](HttpResponse Response) {
+    Handler(Request, [&](const HttpResponse &Response) {
       Status = Response.Status;
       if (Body)
         *Body = Response.Body;
