--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -47,9 +47,8 @@
 EdgeNode::EdgeNode(boost::asio::io_context &Context, EdgeSettings Configured,
                    KeyStore &Store, const DocumentReader &Documents,
                    const HeaderNames &Names)
-    : Io(Context), Settings(std::move(Configured)), Store(Store),
-      Changes(Context, Store), Peers(Context, {}, relayHandler(this->Relay)),
-      Documents(Documents),
+    : Settings(std::move(Configured)), Store(Store), Changes(Context, Store),
+      Peers(Context, {}, relayHandler(this->Relay)), Documents(Documents),
       Fleet(Context, Names,
             {this->Settings.Domain, this->Settings.ExtraSends, {}}),
       Runs{Context, Names, this->Fleet, this->Delay},
@@ -167,9 +166,10 @@
   }
   // Members begin with different watchers, so that each serves a like part.
   if (!Peers.empty())
-    std::ranges::rotate(
-        Peers, Peers.begin() +
-                   static_cast<std::ptrdiff_t>(this->Spread % Peers.size()));
+    std::rotate(Peers.begin(),
+                Peers.begin() +
+                    static_cast<std::ptrdiff_t>(this->Spread % Peers.size()),
+                Peers.end());
   this->Changes.setRelays(std::move(Peers));
 }
 
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -79,7 +79,6 @@
   void tick(TimePoint Due);
   void finishStop(TimePoint Now);
 
-  boost::asio::io_context &Io;
   EdgeSettings Settings;
   KeyStore &Store;
   RelayedStore Changes;
--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -48,7 +48,7 @@
 std::shared_ptr<LeafLink> LeafChannel::takeIdle(TimePoint Now) {
   // The one used last is the least likely to be closed by the leaf just now.
   while (!this->Idle.empty()) {
-    const std::shared_ptr<LeafLink> Link = this->Idle.back();
+    std::shared_ptr<LeafLink> Link = this->Idle.back();
     this->Idle.pop_back();
     if (Link->usable(Now))
       return Link;
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -68,7 +68,7 @@
 LeafChannelPtr ReplicaCall::chooseAgain(TimePoint Now) {
   const Duration Typical = this->Fleet.figures(this->Of).typical();
   if (this->otherLeafAllowed())
-    if (const LeafChannelPtr Other =
+    if (LeafChannelPtr Other =
             this->Fleet.choose(this->Service, this->Tried, Typical, Now))
       return Other;
   std::vector<LeafChannelPtr> Avoid;
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -155,7 +155,7 @@
   return Result;
 }
 
-RawLeaf::Serving answers(std::string Body) {
+RawLeaf::Serving answers(const std::string &Body) {
   return [Body](const std::string &Head, RawLeaf::Peer &To) {
     To.write(RawLeaf::answer(Head, Body));
   };
--- a/test/Registry/FleetTest.cpp
+++ b/test/Registry/FleetTest.cpp
@@ -20,7 +20,9 @@
 
 std::vector<FleetMember> fleet(int Strong, int Weak) {
   std::vector<FleetMember> Result;
-  for (int At = 0; At < Strong + Weak; ++At)
+  const int Count = Strong + Weak;
+  Result.reserve(static_cast<std::size_t>(Count));
+  for (int At = 0; At < Count; ++At)
     Result.push_back(member("m" + std::to_string(At),
                             "d" + std::to_string(At % 4),
                             At < Strong ? 0.5 : 0.12));
