Keep the ports that one test has drawn from others that run beside it

Cause: the second run of the tests on, nothing beside it, failed 1 of 42: membership_test, "cannot listen at 127.0.0.1:25254: Address already in use". Ports are drawn at random, probed and let go; ten tests run at once and draw from one range, so another one had drawn the same port before this one's daemon was started. Ruled out: outgoing connections (their range begins at 32768) and the new tests (they take what the system gives, above it). Change: a lock file a port, held while the test process lives.

--- a/test/integration/citron.py
+++ b/test/integration/citron.py
@@ -4,6 +4,7 @@
 by its own id.
 """
 
+import fcntl
 import http.client
 import json
 import os
@@ -29,8 +30,25 @@
     return os.path.join(build_dir(), "bin", name)
 
 
+# Open lock files of the ports that this test process has drawn.
+_PORT_LOCKS = []
+
+
+def _lock_port(port):
+    """Keeps other test processes from drawing the port while this one lives."""
+    path = os.path.join(tempfile.gettempdir(), f"citron-port-{port}.lock")
+    lock = open(path, "w", encoding="utf-8")
+    try:
+        fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+    except OSError:
+        lock.close()
+        return False
+    _PORT_LOCKS.append(lock)
+    return True
+
+
 def free_ports(count):
-    """Ports that are free for both TCP and UDP at this moment.
+    """Ports that are free for both TCP and UDP and that no other test has drawn.
 
     They are below those that the system gives to outgoing connections, which
     would else take some of them before a daemon does.
@@ -42,6 +60,8 @@
         udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         held += [tcp, udp]
         port = source.randrange(*LISTENING_PORTS)
+        if not _lock_port(port):
+            continue
         try:
             tcp.bind(("127.0.0.1", port))
             udp.bind(("127.0.0.1", port))
