Refuse a query before anything is sent when too few shards have a usable leaf

Cause: a query went to all shards that had a leaf and was given up when the others failed at once; the leaves worked for nothing, and the caller got 502, which promises nothing, in place of "not run" with a time to return. Seen in RequestChainTest with three shards of which two have no leaf (fails before: 502, one request at the leaf).

Ruled out: refusing on suspicion. A leaf that is due for a trial counts as usable, so that recovery is found by the first query after its pause.

Change: LeafFleet::usable, ScatterRun::servable before the first call.

--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -149,6 +149,17 @@
   return Trial && Trial->extrasGoNew() ? VersionSide::New : VersionSide::Old;
 }
 
+bool LeafFleet::mayAsk(LeafChannel &Channel, TimePoint Now) {
+  return !Channel.misdirected() && Channel.stats().available(Now) &&
+         Channel.cold().mayTake(Now);
+}
+
+bool LeafFleet::usable(std::string_view Service, TimePoint Now) {
+  return std::ranges::any_of(
+      this->replicas(Service),
+      [&](const LeafChannelPtr &Channel) { return mayAsk(*Channel, Now); });
+}
+
 LeafChannelPtr LeafFleet::choose(const LeafWish &Wish, TimePoint Now) {
   const VersionTrial *Trial = this->Trials.find(Wish.Service);
   if (!Trial || Trial->stage() != MoveStage::OnTrial)
@@ -170,9 +181,8 @@
   LeafChannelPtr Best;
   double Least = 0;
   for (const LeafChannelPtr &Channel : this->replicas(Wish.Service)) {
-    if (Channel->misdirected() || !Channel->stats().available(Now) ||
-        std::ranges::find(Wish.Avoid, Channel) != Wish.Avoid.end() ||
-        !Channel->cold().mayTake(Now))
+    if (!mayAsk(*Channel, Now) ||
+        std::ranges::find(Wish.Avoid, Channel) != Wish.Avoid.end())
       continue;
     if (Trial && Trial->isNew(Channel->entry().Version) !=
                      (Wish.Side == VersionSide::New))
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -59,6 +59,9 @@
   /// \returns the best replica for a call, or null.
   LeafChannelPtr choose(const LeafWish &Wish, TimePoint Now);
 
+  /// \returns whether a call to \p Service would find a leaf now.
+  bool usable(std::string_view Service, TimePoint Now);
+
   /// \returns a replica other than \p Chosen to which a copy should be sent to
   /// see whether it has recovered, or null.
   LeafChannelPtr probe(std::string_view Service, const LeafChannelPtr &Chosen,
@@ -96,6 +99,7 @@
   std::size_t leaves() const { return this->Channels.size(); }
 
 private:
+  static bool mayAsk(LeafChannel &Channel, TimePoint Now);
   double cost(LeafChannel &Channel, Duration Typical, TimePoint Now);
   LeafChannelPtr chooseAmong(const LeafWish &Wish, const VersionTrial *Trial,
                              TimePoint Now);
--- a/citronlever/src/Gateway/ScatterRun.cpp
+++ b/citronlever/src/Gateway/ScatterRun.cpp
@@ -6,6 +6,8 @@
 #include "citronlever/src/Gateway/internal/RunTimer.h"
 #include "citronlever/src/Gateway/internal/RunTimes.h"
 
+#include <algorithm>
+
 namespace citronlever {
 
 namespace {
@@ -25,6 +27,32 @@
   }
 
   void start() {
+    if (!this->servable(Clock::now())) {
+      this->Reason = "too few shards have a leaf that can be asked";
+      this->giveUp(Clock::now());
+      return;
+    }
+    this->send();
+  }
+
+  void callerGone() override {
+    ++this->Context.Counters.CallersGone;
+    this->stop();
+  }
+
+private:
+  /// Load pattern: all leaves of some shards are down, so that every query to
+  /// the others would be work for nothing.
+  bool servable(TimePoint Now) const {
+    const std::vector<std::string> &Shards = this->Spec.Of->Shards;
+    const auto Usable = static_cast<std::size_t>(
+        std::ranges::count_if(Shards, [&](const std::string &Shard) {
+          return this->Context.Fleet.usable(Shard, Now);
+        }));
+    return covers(Usable, Shards.size(), this->Spec.Of->LeastCoverage);
+  }
+
+  void send() {
     const RouteSpec &Of = *this->Spec.Of;
     const auto Request = std::make_shared<const LeafRequest>(
         this->Spec.Request->Http, this->Context.Names,
@@ -42,12 +70,6 @@
     this->step();
   }
 
-  void callerGone() override {
-    ++this->Context.Counters.CallersGone;
-    this->stop();
-  }
-
-private:
   void ended(ReplicaResult Result) {
     --this->Gathered.Open;
     this->Ran = combine(this->Ran, Result.Ran);
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -327,6 +327,26 @@
   DOCTEST_CHECK(Clock::now() - Began < Early);
 }
 
+DOCTEST_TEST_CASE("a query for which too few shards have a leaf is refused as "
+                  "not run, and no leaf is asked") {
+  Fixture Test;
+  RawLeaf &Leaf = Test.leaf("a", answers(std::string(16, 'a')));
+  Test.leaf("b", answers(std::string(16, 'b')));
+  Test.leaf("c", answers(std::string(16, 'c')));
+  Test.routes(scatter());
+  // Opens a connection, so that a call would be sent at once.
+  DOCTEST_REQUIRE(status(Test.ask(Fixture::request("/p/x"))) == 200);
+  Leaf.Requests.clear();
+  for (const char *Id : {"leaf-2", "leaf-3"})
+    Test.Registry.remove(Id, Clock::now());
+  Test.Fleet.update(Test.Registry, Test.Routes.get(), {}, 1, Clock::now());
+  const std::string Got = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(status(Got) == 503);
+  DOCTEST_CHECK(!RawLeaf::field(Got, "Retry-After").empty());
+  DOCTEST_CHECK(body(Got).find("not_run") != std::string::npos);
+  DOCTEST_CHECK(Leaf.Requests.empty());
+}
+
 DOCTEST_TEST_CASE("a caller who leaves ends the calls to leaves") {
   Fixture Test;
   RawLeaf &Leaf = Test.leaf("a", silent);
