Admit down to one request at once, fresh ones first, and hedge only where a slot is free

Change: floor 1, steps of a tenth, queues of 0.8 to 1.2 slots, a tenth of the objective to wait; fresh requests before returning ones, since these are late by their objective already while a fresh one that is refused has only its return left; no hedge while the other leaf has no free slot, calls that wait for a connection counted; the registry's slots count until a leaf reports its own. A cold leaf's rate is taken when a call is sent.

--- a/citronlever/src/Dispatch/AdmissionGate.cpp
+++ b/citronlever/src/Dispatch/AdmissionGate.cpp
@@ -9,9 +9,9 @@
 
 /// Queue at the leaves, in parts of their slots, above which fewer requests are
 /// served at once, and below which more.
-constexpr double LongQueue = 0.9;
-constexpr double ShortQueue = 0.5;
-constexpr double Decrease = 0.75;
+constexpr double LongQueue = 1.2;
+constexpr double ShortQueue = 0.8;
+constexpr double Decrease = 0.9;
 
 } // namespace
 
--- a/citronlever/src/Dispatch/AdmissionGate.h
+++ b/citronlever/src/Dispatch/AdmissionGate.h
@@ -20,8 +20,8 @@
   std::uint64_t Id = 0;
 
   bool operator<(const WaitingRequest &Other) const {
-    return std::tuple(this->Priority, !this->Returning, this->AnswerBy,
-                      this->Id) < std::tuple(Other.Priority, !Other.Returning,
+    return std::tuple(this->Priority, this->Returning, this->AnswerBy,
+                      this->Id) < std::tuple(Other.Priority, Other.Returning,
                                              Other.AnswerBy, Other.Id);
   }
 };
@@ -37,7 +37,7 @@
 public:
   /// Time between two changes of the number.
   static constexpr Duration Period = Milliseconds(50);
-  static constexpr std::size_t LeastServed = 2;
+  static constexpr std::size_t LeastServed = 1;
   static constexpr std::size_t MostServed = 64;
   /// Waiting requests beyond which the last in order is turned away.
   static constexpr std::size_t MostWaiting = 64;
--- a/citronlever/src/Dispatch/ReplicaStats.cpp
+++ b/citronlever/src/Dispatch/ReplicaStats.cpp
@@ -142,6 +142,11 @@
          std::max(1, this->Load.Slots);
 }
 
+bool ReplicaStats::full(std::size_t Unsent, TimePoint Now) const {
+  return this->load(Now) + static_cast<double>(Unsent) >=
+         std::max(1, this->Load.Slots);
+}
+
 double ReplicaStats::cost(Duration Typical, TimePoint Now) const {
   const double Slots = std::max(1, this->Load.Slots);
   const double Queued = std::max(0.0, this->load(Now) + 1 - Slots);
--- a/citronlever/src/Dispatch/ReplicaStats.h
+++ b/citronlever/src/Dispatch/ReplicaStats.h
@@ -53,6 +53,13 @@
   /// \p Typical of the kind of request that is to be sent.
   double cost(Duration Typical, TimePoint Now) const;
 
+  /// What is known of the leaf's slots before it says so itself.
+  void expectSlots(int Slots) { this->Load.Slots = Slots; }
+
+  /// \returns whether one more call would have to wait there, as far as known.
+  /// \param Unsent calls to the leaf that wait for a connection.
+  bool full(std::size_t Unsent, TimePoint Now) const;
+
   /// \returns whether the leaf is set aside after failures.
   bool excluded(TimePoint Now) const { return Now < this->ExcludedUntil; }
 
--- a/citronlever/src/Gateway/AdmissionLine.cpp
+++ b/citronlever/src/Gateway/AdmissionLine.cpp
@@ -10,7 +10,7 @@
 
 /// A request waits at most this part of its objective: what is refused within a
 /// quarter of it can still be served in time when it comes back.
-constexpr double WaitPart = 0.2;
+constexpr double WaitPart = 0.1;
 /// A caller that says it will wait less than this part of the route's timeout
 /// has spent time before: it was refused and has come back.
 constexpr double ReturningPart = 0.97;
--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -10,7 +10,9 @@
                          const HeaderNames &Names, LeafChannelSettings Settings,
                          LeafChannelCounters &Totals)
     : Context(Context), Entry(std::move(Entry)), Names(Names),
-      Settings(Settings), Totals(Totals) {}
+      Settings(Settings), Totals(Totals) {
+  this->Stats.expectSlots(this->Entry.Slots);
+}
 
 LeafChannel::~LeafChannel() = default;
 
--- a/citronlever/src/Gateway/LeafChannel.h
+++ b/citronlever/src/Gateway/LeafChannel.h
@@ -86,6 +86,10 @@
 
   /// \returns whether a call would have to wait for another one's end.
   bool saturated() const;
+  /// \returns whether a call would wait, here or at the leaf.
+  bool full(TimePoint Now) const {
+    return this->Stats.full(this->Waiting.size(), Now);
+  }
   /// \returns whether a connection is free.
   bool hasIdle() const { return !this->Idle.empty(); }
   /// \returns whether another leaf answered at this one's address.
--- a/citronlever/src/Gateway/LeafFleet.cpp
+++ b/citronlever/src/Gateway/LeafFleet.cpp
@@ -193,8 +193,6 @@
     Best = Channel;
     Least = Cost;
   }
-  if (Best)
-    Best->cold().take(Now);
   return Best;
 }
 
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -143,6 +143,7 @@
     if (const ChannelCallPtr Ended = Weak.lock())
       Self->ended(Ended, std::move(Answer));
   };
+  Leaf->cold().take(Now);
   this->Tried.push_back(Leaf);
   this->InFlight.push_back({Leaf, Call, Extra});
   ++this->Sends;
@@ -255,15 +256,14 @@
   if (!this->mayRepeat() || this->InFlight.size() > 1 ||
       !this->otherLeafAllowed())
     return;
-  ExtraSendWindow &Window = this->Fleet.extraSends(this->Service);
-  if (!Window.tryTake(Now, HedgeReserve)) {
-    this->WakeAt = Now + BudgetPause;
+  this->WakeAt = Now + BudgetPause;
+  const LeafChannelPtr Other = this->Fleet.choose(
+      this->wish(this->Tried, this->Fleet.extraSide(this->Service)), Now);
+  // Where both would wait, a copy only makes the queues longer.
+  if (!Other || Other->full(Now))
     return;
-  }
-  if (!this->sendNext(true, Now)) {
-    Window.giveBack();
-    this->WakeAt = Now + BudgetPause;
-  }
+  if (this->Fleet.extraSends(this->Service).tryTake(Now, HedgeReserve))
+    this->send(Other, true, Now);
 }
 
 void ReplicaCall::fail() {
--- a/test/Dispatch/ReplicaStatsTest.cpp
+++ b/test/Dispatch/ReplicaStatsTest.cpp
@@ -53,6 +53,24 @@
   DOCTEST_CHECK(Paused.Stats.slowness(Now) < 2.2);
 }
 
+DOCTEST_TEST_CASE("full leaf: by what is out, and by what it said of late") {
+  TimePoint Now{Seconds(100)};
+  Leaf Busy;
+  DOCTEST_CHECK(!Busy.Stats.full(0, Now));
+  DOCTEST_CHECK(Busy.Stats.full(1, Now));
+  Busy.Stats.expectSlots(3);
+  DOCTEST_CHECK(!Busy.Stats.full(2, Now));
+  Busy.Stats.reported({1, 0, 2}, Now);
+  DOCTEST_CHECK(!Busy.Stats.full(0, Now));
+  DOCTEST_CHECK(Busy.Stats.full(1, Now));
+  Busy.Stats.reported({2, 1, 2}, Now);
+  DOCTEST_CHECK(Busy.Stats.full(0, Now));
+  DOCTEST_CHECK(!Busy.Stats.full(0, Now + Milliseconds(100)));
+  Busy.Stats.sent(1, Now);
+  Busy.Stats.sent(2, Now);
+  DOCTEST_CHECK(Busy.Stats.full(0, Now + Milliseconds(100)));
+}
+
 DOCTEST_TEST_CASE("slow leaf: one copy in each period shows its recovery") {
   TimePoint Now{Seconds(100)};
   Leaf Slow;
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -1,4 +1,5 @@
 #include "citronlever/Gateway"
+#include "citronlever/src/Gateway/ReplicaCall.h"
 #include "test/standins/RawLeaf.h"
 
 #include <boost/asio/io_context.hpp>
@@ -282,6 +283,45 @@
   }
 }
 
+DOCTEST_TEST_CASE("no hedge goes to a leaf where it would wait, until that has "
+                  "a free slot") {
+  Fixture Test;
+  RawLeaf &A = Test.leaf("a", silent);
+  RawLeaf &B = Test.leaf("a", silent);
+  Test.routes(forward(RequestKind::Idempotent));
+  const RouteSpec *Of = Test.Routes.get()->match("h.example", "/p/x");
+  HttpRequest Asked;
+  Asked.Target = "/p/x";
+  const auto Request = std::make_shared<LeafRequest>(
+      Asked, TestNames, Clock::now() + RouteTimeout);
+  std::vector<std::shared_ptr<ReplicaCall>> Calls;
+  for (int At = 0; At < 2; ++At)
+    Calls.push_back(std::make_shared<ReplicaCall>(Test.Fleet, *Of, "a", Request,
+                                                  [](ReplicaResult) {}));
+  const auto Sent = [&] { return A.Requests.size() + B.Requests.size(); };
+  const auto Run = [&] {
+    Test.Io.run_for(Milliseconds(2));
+    for (const auto &Call : Calls)
+      if (!Call->finished() && Clock::now() >= Call->wakeAt())
+        Call->wake(Clock::now());
+  };
+  Calls[0]->start(Clock::now());
+  DOCTEST_REQUIRE(Test.until([&] { return Sent() == 1; }));
+  Calls[1]->start(Clock::now());
+  // A hedge is due after 0.3 of the objective.
+  const TimePoint End = Clock::now() + Milliseconds(250);
+  while (Clock::now() < End)
+    Run();
+  DOCTEST_CHECK(A.Requests.size() == 1);
+  DOCTEST_CHECK(B.Requests.size() == 1);
+  Calls[1]->abandon();
+  const TimePoint Longest = Clock::now() + Early;
+  while (Sent() < 3 && Clock::now() < Longest)
+    Run();
+  DOCTEST_CHECK(Sent() == 3);
+  Calls[0]->abandon();
+}
+
 DOCTEST_TEST_CASE("the route's time-out ends a request with a final answer") {
   Fixture Test;
   Test.leaf("a", silent);
