--- a/citronlever/src/Edge/MoveCoordinator.cpp
+++ b/citronlever/src/Edge/MoveCoordinator.cpp
@@ -108,15 +108,16 @@
   this->Members = std::move(Kept);
 }
 
-bool MoveCoordinator::underWay() const {
-  return std::ranges::any_of(this->Trials.all(), [](const auto &Item) {
-    return !Item.second.state() || !Item.second.state()->finished();
-  });
+std::size_t MoveCoordinator::underWay() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Trials.all(), [](const auto &Item) {
+        return !Item.second.state() || !Item.second.state()->finished();
+      }));
 }
 
 void MoveCoordinator::tick(TimePoint Now, bool Away) {
   this->StoreAway = Away;
-  if (Now < this->NextTick || !this->underWay())
+  if (Now < this->NextTick || this->underWay() == 0)
     return;
   this->NextTick = Now + TrialKeeper::Interval;
   this->judge();
--- a/citronlever/src/Edge/MoveCoordinator.h
+++ b/citronlever/src/Edge/MoveCoordinator.h
@@ -55,6 +55,9 @@
   /// Does what is due. \param StoreAway this process does not reach the store.
   void tick(TimePoint Now, bool StoreAway);
 
+  /// \returns how many ordered moves have not ended.
+  std::size_t underWay() const;
+
   /// \returns whether the leaves to be used may have changed since the last
   /// call.
   bool takeChanged() { return std::exchange(this->Changed, false); }
@@ -74,7 +77,6 @@
     TimePoint NotBefore{};
   };
 
-  bool underWay() const;
   void apply(const RolloutDocument &State, TimePoint Now);
   void markBad(const TrialReport &Found);
   void judge();
--- a/citronlever/src/Gateway/LeafFleet.h
+++ b/citronlever/src/Gateway/LeafFleet.h
@@ -73,6 +73,7 @@
 
   /// The moves of services to other versions, as ordered now.
   VersionTrials &trials() { return this->Trials; }
+  const VersionTrials &trials() const { return this->Trials; }
 
   /// \returns which version of \p Service the first call of a request on
   /// \p Route goes to; counts it.
--- a/test/Dispatch/VersionTrialTest.cpp
+++ b/test/Dispatch/VersionTrialTest.cpp
@@ -238,12 +238,12 @@
       {"slow later", {.Slow = 0.7, .After = Seconds(7)}},
       {"fails under load", {.Failing = 0.4, .AtShare = 0.4}},
       {"fails on one route", {.Failing = 0.6, .OneRouteOnly = true}}};
-  for (const auto &[Name, Kind] : Kinds)
+  for (const auto &Kind : Kinds)
     for (const double PerSecond : {22.5, 90.0})
       for (const int NewLeaves : {2, 5}) {
-        DOCTEST_CAPTURE(Name);
+        DOCTEST_CAPTURE(Kind.first);
         DOCTEST_CAPTURE(PerSecond);
-        const Tally Seen = tally(PerSecond, NewLeaves, Kind);
+        const Tally Seen = tally(PerSecond, NewLeaves, Kind.second);
         DOCTEST_CHECK(Seen.TakenBack >= Seeds - 2);
         DOCTEST_CHECK(Seen.Exposed == 0);
         DOCTEST_CHECK(Seen.TooLong == 0);
--- a/test/Gateway/RequestChainTest.cpp
+++ b/test/Gateway/RequestChainTest.cpp
@@ -295,9 +295,10 @@
   const auto Request = std::make_shared<LeafRequest>(
       Asked, TestNames, Clock::now() + RouteTimeout);
   std::vector<std::shared_ptr<ReplicaCall>> Calls;
+  Calls.reserve(2);
   for (int At = 0; At < 2; ++At)
-    Calls.push_back(std::make_shared<ReplicaCall>(Test.Fleet, *Of, "a", Request,
-                                                  [](ReplicaResult) {}));
+    Calls.push_back(std::make_shared<ReplicaCall>(
+        Test.Fleet, *Of, "a", Request, [](const ReplicaResult &) {}));
   const auto Sent = [&] { return A.Requests.size() + B.Requests.size(); };
   const auto Run = [&] {
     Test.Io.run_for(Milliseconds(2));
