--- a/review/1/case.py
+++ b/review/1/case.py
@@ -85,4 +85,4 @@
     return not counted
 
 
-sys.exit(s.run_case(case, FOLDER))
+s.run_case(case, FOLDER)
--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import shutil
 import signal
 import socket
 import subprocess
@@ -375,21 +376,30 @@
 
 
 def run_case(case, folder, limit=110):
-    """Runs \\p case(record, temporary folder, trouble), which returns whether the rule held."""
+    """Runs \p case(record, temporary folder, trouble, nodes) and exits.
+
+    The case returns whether the rule held, and adds every process that it starts to nodes.
+    Exits with 0 if the rule held, 1 if it was broken, and 2 if the case could not run.
+    """
     record = Record(folder)
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("trouble" if trouble else "no trouble")
-    with tempfile.TemporaryDirectory() as temporary:
+    temporary = tempfile.mkdtemp()
+
+    async def run():
         nodes = []
         try:
-            held = asyncio.run(asyncio.wait_for(case(record, temporary, trouble, nodes), limit))
+            held = await asyncio.wait_for(case(record, temporary, trouble, nodes), limit)
+            code, words = (0, "the rule held") if held else (1, "the rule was broken")
         except (Unable, OSError, asyncio.TimeoutError) as failure:
-            record("could not run:", repr(failure))
-            print("could not run:", repr(failure))
-            return 2
+            code, words = 2, f"could not run: {failure!r}"
         finally:
             for node in nodes:
                 node.end()
-    record("the rule held" if held else "the rule was broken")
-    print("held" if held else "broken")
-    return 0 if held else 1
+            shutil.rmtree(temporary, ignore_errors=True)
+        record(words)
+        print(words, flush=True)
+        # Without the teardown of connections that still wait.
+        os._exit(code)
+
+    asyncio.run(run())
