--- a/review/standins.py
+++ b/review/standins.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -19,6 +20,7 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 NODED = os.path.join(ROOT, "target", "bin", "noded")
 HOST = "127.0.0.1"
+GIVEN_PORTS = set()
 REQUEST_ID = "Citronlever-Request-Id"
 DEADLINE = "Citronlever-Deadline-Ms"
 SEAL = "Citronlever-Response-Seal"
@@ -31,9 +33,19 @@
 
 
 def free_port():
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a port below those that the system gives to outgoing connections."""
+    while True:
+        port = random.randrange(15000, 32000)
+        if port in GIVEN_PORTS:
+            continue
+        try:
+            for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                with socket.socket(type=kind) as probe:
+                    probe.bind((HOST, port))
+        except OSError:
+            continue
+        GIVEN_PORTS.add(port)
+        return port
 
 
 class Record:
