--- a/test/Gateway/RequestDispatcherTest.cpp
+++ b/test/Gateway/RequestDispatcherTest.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/io_context.hpp>
 #include <doctest/doctest.h>
 
+#include <thread>
+
 using namespace citronlever;
 
 namespace {
@@ -576,6 +578,40 @@
   DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
 }
 
+// Guards against a 503 ("not run") for a request that a leaf then runs: it was
+// admitted after its wait had expired, and before the expiry was handled.
+DOCTEST_TEST_CASE("a request admitted at the moment its wait expires is served "
+                  "and not refused as well") {
+  Fixture Test;
+  Test.leaf("a", answers("good"));
+  Test.routes(forward(RequestKind::NonIdempotent));
+  AdmissionController &Controller = Test.Context.admission("a").Controller;
+  while (Controller.tryAdmit()) {
+  }
+  boost::asio::steady_timer Poll(Test.Io);
+  std::function<void()> AdmitLate = [&] {
+    Poll.expires_after(Milliseconds(1));
+    Poll.async_wait([&](auto) {
+      if (Controller.waiting() == 0) {
+        AdmitLate();
+        return;
+      }
+      Poll.expires_after(Milliseconds(1));
+      Poll.async_wait([&](auto) {
+        Controller.release();
+        Test.Context.admission("a").notify(Controller.admitNext(), true);
+      });
+      // Longer than the wait, a tenth of the objective: both timers expire
+      // before either is handled.
+      std::this_thread::sleep_for(Milliseconds(80));
+    });
+  };
+  AdmitLate();
+  const std::string Response = Test.ask(Fixture::request("/p/x"));
+  DOCTEST_CHECK(status(Response) == 200);
+  DOCTEST_CHECK(Test.Leaves[0]->Requests.size() == 1);
+}
+
 DOCTEST_TEST_CASE(
     "a withheld version gets no calls while another version serves") {
   Fixture Test;
