Ignore timeouts of an earlier step on callers' and leaves' connections

What callers saw: the connection ended while or right after its answer was written, although it was to be kept.

The timeout for a request's header expires in the turn of the event loop in which the rest of the header is read. Its handler is queued, so that the timer's next use doesn't cancel it, and closes the connection during the write of the answer. In the same way the timeout of a connection attempt closed a connection that had just been made, with a call on it.

Evidence: the new test, a caller whose header ends while the process is stalled beyond the timeout: one answer, then the end, before; two answers after. The connection attempt is by reading only.

Change: CallerSession ignores a handler if the timer was set anew since, and ChannelConnection one for an attempt that has succeeded.

--- a/citronlever/src/Gateway/internal/CallerSession.cpp
+++ b/citronlever/src/Gateway/internal/CallerSession.cpp
@@ -234,7 +234,9 @@
   this->Timer.expires_after(Wait);
   this->Timer.async_wait([Weak = this->weak_from_this(), Status](auto Failure) {
     const auto Self = Weak.lock();
-    if (!Failure && Self)
+    // A handler that is queued already cannot be cancelled; the timer may have
+    // been set for something else since.
+    if (!Failure && Self && Self->Timer.expiry() <= Clock::now())
       Self->onTimeout(Status);
   });
 }
--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -69,7 +69,8 @@
   }
   this->Timer.expires_after(Channel->Settings.ConnectTimeout);
   this->Timer.async_wait([Self = this->shared_from_this()](auto Cancelled) {
-    if (!Cancelled)
+    // The attempt can have succeeded while this handler was queued.
+    if (!Cancelled && Self->isConnecting())
       Self->close("connection attempt timed out");
   });
   this->Socket.async_connect(
--- a/test/Gateway/RequestDispatcherTest.cpp
+++ b/test/Gateway/RequestDispatcherTest.cpp
@@ -171,6 +171,9 @@
 
 void unresponsive(const std::string &, RawLeaf::Peer &) {}
 
+/// Every answer to a request without a route is longer.
+constexpr std::size_t MinAnswerBytes = 100;
+
 } // namespace
 
 DOCTEST_TEST_CASE(
@@ -578,6 +581,45 @@
   DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "good");
 }
 
+// Guards against the close of a connection whose answer is being written: the
+// timeout for the header had expired before the end of the header was read.
+DOCTEST_TEST_CASE("a timeout that expires while its request arrives does not "
+                  "end the connection") {
+  Fixture Test;
+  Test.routes(forward(RequestKind::Idempotent));
+  boost::asio::ip::tcp::socket Caller(Test.Io);
+  Caller.connect(
+      {boost::asio::ip::make_address("127.0.0.1"), Test.Address.Port});
+  const auto Send = [&](std::string_view Bytes) {
+    boost::asio::write(Caller, boost::asio::buffer(Bytes));
+  };
+  const std::string Unknown =
+      "GET /unknown HTTP/1.1\r\nHost: h.example\r\n\r\n";
+  Send(std::string_view(Unknown).substr(0, 10));
+  Test.Io.run_for(Milliseconds(20));
+  Send(std::string_view(Unknown).substr(10));
+  // Longer than the timeout for a header.
+  std::this_thread::sleep_for(Milliseconds(150));
+  Test.Io.run_for(Milliseconds(50));
+  Send(Unknown);
+  std::string Received;
+  boost::system::error_code Failure;
+  const TimePoint End = Clock::now() + Seconds(5);
+  Caller.non_blocking(true);
+  while (Clock::now() < End && Received.size() < 2 * MinAnswerBytes &&
+         (!Failure || Failure == boost::asio::error::would_block)) {
+    Test.Io.run_for(Milliseconds(5));
+    std::array<char, 4096> Chunk{};
+    const std::size_t Size =
+        Caller.read_some(boost::asio::buffer(Chunk), Failure);
+    Received.append(Chunk.data(), Size);
+  }
+  const std::size_t Second = Received.find("HTTP/1.1", 1);
+  DOCTEST_CHECK(Received.starts_with("HTTP/1.1 404"));
+  DOCTEST_REQUIRE(Second != std::string::npos);
+  DOCTEST_CHECK(Received.substr(Second).starts_with("HTTP/1.1 404"));
+}
+
 // Guards against a 503 ("not run") for a request that a leaf then runs: it was
 // admitted after its wait had expired, and before the expiry was handled.
 DOCTEST_TEST_CASE("a request admitted at the moment its wait expires is served "
