Answer or refuse every request that is read in a planned stop

Cause: PlannedStop ended the process 5.6 s after the signal whatever was in flight; nobody sent the last answers for which it kept 0.4 s. Requests were accepted until 5.0 s and passed on with all of their time, however long their leaf took.

Change: a request that may not be answered before the end is refused when it is read (StopAdmission: not run, 503 with Retry-After), from the longest recent time of its route; leaves get no more time than is left; 0.4 s before the process would be killed all that is left gets its final answer with the true verdict (504, 503, or the merge of enough shards), and the process ends 0.2 s before that time at the latest. Related: connections that wait to be accepted, and bytes that have arrived on idle connections, are served before these are closed; an answer's last bytes are no longer cut by the close of lingering connections.

--- a/citronlever/src/Dispatch/CallerTiming.h
+++ b/citronlever/src/Dispatch/CallerTiming.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronlever/src/Core/RecentMaximum.h"
 #include "citronlever/src/Core/Time.h"
 
 #include <algorithm>
@@ -28,22 +29,12 @@
   /// Records \p TimeLeft of a request read at \p Now.
   /// \returns the time that its caller had used.
   Duration recordTimeLeft(Duration TimeLeft, TimePoint Now) {
-    if (Now - this->PeriodStart >= Period) {
-      this->Previous = this->Current;
-      this->Current = Duration::zero();
-      this->PeriodStart = Now;
-    }
-    this->Current = std::max(this->Current, TimeLeft);
-    return std::max(this->Current, this->Previous) - TimeLeft;
+    this->Longest.add(TimeLeft, Now);
+    return this->Longest.value() - TimeLeft;
   }
 
 private:
-  /// The longest time left of the last one to two periods counts.
-  static constexpr Duration Period = Seconds(10);
-
-  Duration Current{};
-  Duration Previous{};
-  TimePoint PeriodStart{};
+  RecentMaximum Longest;
 };
 
 /// Which of a caller's tries a request is. The order of the values is the order
--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -262,6 +262,7 @@
   if (this->OnStopped)
     return;
   this->Stop.begin(Clock::now());
+  this->Runs.ServeUntil = this->Stop.lastAnswersAt();
   this->OnStopped = std::move(Then);
   logEvent(event::ProcessStopping, this->Settings.Name);
   this->Callers.drain();
@@ -272,7 +273,9 @@
   if (Now < this->Stop.addressesExpireAt())
     return;
   this->Callers.closeIdle();
-  if (!this->Stop.isDone(this->Callers.inFlight(), Now))
+  if (Now >= this->Stop.lastAnswersAt())
+    this->Callers.giveUp("this process is stopping");
+  if (!this->Stop.isDone(this->Callers.connections(), Now))
     return;
   logEvent(event::ProcessStopped, this->Settings.Name);
   this->Lease->release();
--- a/citronlever/src/Edge/PlannedStop.h
+++ b/citronlever/src/Edge/PlannedStop.h
@@ -9,8 +9,9 @@
 /// Times of a planned stop. Callers use an address for up to
 /// \c AddressLifetimeTtls times the directory's time to live; until then the
 /// process serves them. It then closes idle connections and ends as soon as
-/// every request read has been answered, and at the deadline in any case,
-/// whatever a leaf, a member or the store does.
+/// every request read has been answered. Requests that are left at
+/// \c lastAnswersAt() get their final answers then, and the process ends at the
+/// deadline in any case, whatever a caller, a leaf, a member or the store does.
 class PlannedStop {
 public:
   /// \param Timeout time from the signal until the process is killed.
@@ -26,21 +27,27 @@
     return std::min(this->StartedAt +
                         AddressLifetimeTtls * this->DirectoryTimeToLive +
                         ClockTolerance,
-                    this->deadline());
+                    this->lastAnswersAt());
+  }
+
+  /// \returns when requests that are left get their final answers.
+  TimePoint lastAnswersAt() const {
+    return this->StartedAt +
+           std::max(Duration::zero(), this->Timeout - FinalAnswerTime);
   }
 
   /// \returns when the process ends even if requests are left.
   TimePoint deadline() const {
     return this->StartedAt +
-           std::max(Duration::zero(), this->Timeout - FinalAnswerTime);
+           std::max(Duration::zero(), this->Timeout - ExitTime);
   }
 
   /// \returns whether the process ends at \p Now.
-  /// \param InFlight number of requests read and not answered.
-  bool isDone(std::size_t InFlight, TimePoint Now) const {
+  /// \param Connections number of callers' open connections.
+  bool isDone(std::size_t Connections, TimePoint Now) const {
     if (Now < this->addressesExpireAt())
       return false;
-    return InFlight == 0 || Now >= this->deadline();
+    return Connections == 0 || Now >= this->deadline();
   }
 
   /// \returns the longest time to live for which a stop that takes \p Timeout
@@ -60,6 +67,8 @@
   static constexpr Duration ClockTolerance = Milliseconds(200);
   /// Time at the end of a planned stop that is left for sending last answers.
   static constexpr Duration FinalAnswerTime = Milliseconds(400);
+  /// Part of it in which the process exits.
+  static constexpr Duration ExitTime = Milliseconds(200);
   /// Time for serving the last requests.
   static constexpr Duration LastRequestTime = Milliseconds(600);
 
--- a/citronlever/src/Gateway/AdmissionQueue.cpp
+++ b/citronlever/src/Gateway/AdmissionQueue.cpp
@@ -51,6 +51,17 @@
     this->stopWaiting();
   }
 
+  void giveUp(std::string_view Reason) override {
+    if (!this->Answer)
+      return;
+    if (this->Active) {
+      this->Active->giveUp(Reason);
+      return;
+    }
+    this->stopWaiting();
+    this->reject(Reason);
+  }
+
 private:
   void adaptLimit(TimePoint Now) {
     if (!this->Admission.Controller.isAdaptDue(Now))
@@ -105,7 +116,7 @@
     if (Admitted)
       this->startRequest();
     else
-      this->reject();
+      this->reject("leaves have no capacity");
   }
 
   void stopWaiting() {
@@ -115,14 +126,14 @@
     const auto Self = std::exchange(this->SelfWhileWaiting, nullptr);
   }
 
-  void reject() {
+  void reject(std::string_view Reason) {
     const AnswerCallback Reply = std::exchange(this->Answer, nullptr);
     ++this->Context.Counters.TurnedAway;
     Reply(unservedResponse(
         Verdict::NotRun, false,
         overloadRetryDelay(this->Routed.Route->LatencyObjective,
                            this->Routed.CallerTimeout, this->Context.random()),
-        "leaves have no capacity"));
+        Reason));
   }
 
   void startRequest() {
--- a/citronlever/src/Gateway/CallerRequest.h
+++ b/citronlever/src/Gateway/CallerRequest.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace citronlever {
 
@@ -29,6 +30,10 @@
   /// Cancels the request because its caller has disconnected: calls to leaves
   /// end, and no answer is sent.
   virtual void onCallerGone() = 0;
+
+  /// Sends the final answer now, because the process ends.
+  /// \param Reason for the answer's body and the log.
+  virtual void giveUp(std::string_view Reason) = 0;
 };
 
 /// Sends the final answer to a request. Must be called once.
--- a/citronlever/src/Gateway/CallerServer.cpp
+++ b/citronlever/src/Gateway/CallerServer.cpp
@@ -38,21 +38,27 @@
         Self->acceptLater();
         return;
       }
-      auto Session =
-          std::make_shared<CallerSession>(std::move(Peer), Self->Shared);
-      Self->Shared->Sessions.insert(Session);
-      Session->start();
+      Self->startSession(std::move(Peer));
       Self->accept();
     });
   }
 
   void closeIdle() {
+    this->closeListener();
+    for (const auto &Session : this->sessions())
+      Session->closeIfIdle();
+  }
+
+  void shutDown() {
     boost::system::error_code Ignored;
     this->Acceptor.close(Ignored);
-    const std::vector<std::shared_ptr<CallerSession>> Sessions(
-        this->Shared->Sessions.begin(), this->Shared->Sessions.end());
-    for (const auto &Session : Sessions)
-      Session->closeIfIdle();
+    for (const auto &Session : this->sessions())
+      Session->closeUnlessServing();
+  }
+
+  void giveUp(std::string_view Reason) {
+    for (const auto &Session : this->sessions())
+      Session->giveUp(Reason);
   }
 
   std::shared_ptr<CallerServerState> shared() const { return this->Shared; }
@@ -62,6 +68,32 @@
   /// Delay after a failed accept, for example when descriptors run out.
   static constexpr Duration AcceptRetryDelay = Milliseconds(20);
 
+  void startSession(asio::ip::tcp::socket Peer) {
+    auto Session =
+        std::make_shared<CallerSession>(std::move(Peer), this->Shared);
+    this->Shared->Sessions.insert(Session);
+    Session->start();
+  }
+
+  /// Closing a listener resets the connections that wait to be accepted, with
+  /// the requests in them, so these are accepted first.
+  void closeListener() {
+    boost::system::error_code Failure;
+    this->Acceptor.non_blocking(true, Failure);
+    while (!Failure) {
+      asio::ip::tcp::socket Peer(this->Acceptor.get_executor());
+      this->Acceptor.accept(Peer, Failure);
+      if (!Failure)
+        this->startSession(std::move(Peer));
+    }
+    this->Acceptor.close(Failure);
+  }
+
+  /// \returns a copy, because sessions leave the set when they close.
+  std::vector<std::shared_ptr<CallerSession>> sessions() const {
+    return {this->Shared->Sessions.begin(), this->Shared->Sessions.end()};
+  }
+
   void acceptLater() {
     this->RetryTimer.expires_after(AcceptRetryDelay);
     this->RetryTimer.async_wait([Self = this->shared_from_this()](auto Failed) {
@@ -80,7 +112,7 @@
     : Data(std::make_shared<State>(Context, std::move(Serve),
                                    std::move(Limits))) {}
 
-CallerServer::~CallerServer() { this->Data->closeIdle(); }
+CallerServer::~CallerServer() { this->Data->shutDown(); }
 
 void CallerServer::listen(const Endpoint &Address) {
   try {
@@ -95,6 +127,10 @@
 
 void CallerServer::closeIdle() { this->Data->closeIdle(); }
 
+void CallerServer::giveUp(std::string_view Reason) {
+  this->Data->giveUp(Reason);
+}
+
 std::size_t CallerServer::inFlight() const {
   return this->Data->shared()->InFlight;
 }
--- a/citronlever/src/Gateway/CallerServer.h
+++ b/citronlever/src/Gateway/CallerServer.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace citronlever {
 
@@ -33,9 +34,15 @@
   /// From now on, answers ask the caller to close the connection.
   void drain();
 
-  /// Closes the listener and the connections without a request.
+  /// Closes the listener and the connections without a request. Connections
+  /// that callers have opened already, and requests that have arrived, are
+  /// still read.
   void closeIdle();
 
+  /// Sends the final answers to all requests now, because the process ends.
+  /// \param Reason for the answers' bodies and the log.
+  void giveUp(std::string_view Reason);
+
   /// \returns the number of requests that were read and not answered yet.
   std::size_t inFlight() const;
   /// \returns the number of open connections.
--- a/citronlever/src/Gateway/ForwardRequest.cpp
+++ b/citronlever/src/Gateway/ForwardRequest.cpp
@@ -16,8 +16,7 @@
   ForwardRequest(GatewayContext &Context, RoutedRequest Routed,
                  AnswerCallback Answer)
       : Context(Context), Routed(std::move(Routed)), Answer(std::move(Answer)),
-        Deadlines(requestDeadlines(this->Routed, Context.Delay)),
-        Timer(Context.Io) {}
+        Deadlines(requestDeadlines(this->Routed, Context)), Timer(Context.Io) {}
 
   void start() {
     const TimePoint Now = Clock::now();
@@ -43,6 +42,11 @@
     this->stop();
   }
 
+  void giveUp(std::string_view Reason) override {
+    if (this->Answer)
+      this->endUnanswered(Reason);
+  }
+
 private:
   std::string chooseService() {
     const RouteSpec &Route = *this->Routed.Route;
@@ -66,16 +70,19 @@
   void wake() {
     const TimePoint Now = Clock::now();
     if (Now >= this->Deadlines.End) {
-      this->Call->abandon();
-      this->finish(unservedResponse(this->Call->ran(), true,
-                                    this->routeRetryDelay(),
-                                    "no answer within the deadline"));
+      this->endUnanswered("no answer within the deadline");
       return;
     }
     this->Call->wake(Now);
     this->schedule();
   }
 
+  void endUnanswered(std::string_view Reason) {
+    this->Call->abandon();
+    this->finish(unservedResponse(this->Call->ran(), true,
+                                  this->routeRetryDelay(), Reason));
+  }
+
   void onResult(ReplicaResult Result) {
     if (Result.Answered)
       this->finish(std::move(Result.Response));
--- a/citronlever/src/Gateway/GatewayContext.h
+++ b/citronlever/src/Gateway/GatewayContext.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "citronlever/src/Core/LoopDelay.h"
+#include "citronlever/src/Core/RecentMaximum.h"
 #include "citronlever/src/Dispatch/AdmissionController.h"
 #include "citronlever/src/Dispatch/CallerTiming.h"
 #include "citronlever/src/Gateway/HeaderNames.h"
@@ -61,6 +62,11 @@
   std::map<std::string, WeightedRoundRobin, std::less<>> Rotations{};
   /// Time that callers start with, by route name.
   std::map<std::string, CallerBudget, std::less<>> CallerBudgets{};
+  /// Longest recent time from a request to its successful answer, by route
+  /// name.
+  std::map<std::string, RecentMaximum, std::less<>> ServiceTimes{};
+  /// When the last answers are sent because this process ends.
+  TimePoint ServeUntil = TimePoint::max();
   std::minstd_rand Random{std::random_device{}()};
 
   /// Admission state, by the first service of a route.
--- a/citronlever/src/Gateway/RequestDispatcher.cpp
+++ b/citronlever/src/Gateway/RequestDispatcher.cpp
@@ -1,6 +1,7 @@
 #include "citronlever/src/Gateway/RequestDispatcher.h"
 
 #include "citronlever/src/Core/Event.h"
+#include "citronlever/src/Dispatch/StopAdmission.h"
 #include "citronlever/src/Gateway/AdmissionQueue.h"
 #include "citronlever/src/Gateway/ErrorResponse.h"
 
@@ -58,6 +59,22 @@
   return rejectionResponse(404, "no route matches this host and path");
 }
 
+/// Refuses a request that may not be answered before this process ends.
+Rejection requireTimeBeforeStop(GatewayContext &Context, FilterState &State) {
+  if (Context.ServeUntil == TimePoint::max())
+    return std::nullopt;
+  const RouteSpec &Route = *State.Route;
+  const Duration Needed = timeNeededToServe(
+      {Route.Kind == RequestKind::Idempotent,
+       std::min(State.CallerTimeout, Route.Timeout), Route.LatencyObjective,
+       Context.ServiceTimes[Route.Name].value()});
+  if (State.Request->Received + Needed <= Context.ServeUntil)
+    return std::nullopt;
+  return unservedResponse(Verdict::NotRun, false,
+                          minRetryDelay(Route.LatencyObjective),
+                          "this process is stopping");
+}
+
 /// \returns what is known of the caller's time.
 CallerTiming callerTiming(GatewayContext &Context, const FilterState &State) {
   CallerTiming Result;
@@ -70,11 +87,14 @@
   return Result;
 }
 
-constexpr std::array<Filter, 4> Filters = {requireRoutes, requirePathTarget,
-                                           readDeadline, findRoute};
+constexpr std::array<Filter, 5> Filters = {requireRoutes, requirePathTarget,
+                                           readDeadline, findRoute,
+                                           requireTimeBeforeStop};
+
+bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 void countOutcome(GatewayCounters &Counters, const HttpResponse &Response) {
-  if (Response.Status >= 200 && Response.Status < 300)
+  if (isSuccess(Response.Status))
     ++Counters.Answered;
   else if (Response.Status == 503 || Response.Status == 429)
     ++Counters.NotRun;
@@ -96,6 +116,14 @@
              toMs(Clock::now() - State.Request->Received), Response.Body);
 }
 
+void recordServiceTime(GatewayContext &Context, const FilterState &State,
+                       const HttpResponse &Response) {
+  const TimePoint Now = Clock::now();
+  if (isSuccess(Response.Status))
+    Context.ServiceTimes[State.Route->Name].add(Now - State.Request->Received,
+                                                Now);
+}
+
 } // namespace
 
 std::shared_ptr<ActiveRequest>
@@ -117,6 +145,7 @@
       [&Context = this->Context, State,
        Answer = std::move(Answer)](HttpResponse Response) {
         reportOutcome(Context, State, Response);
+        recordServiceTime(Context, State, Response);
         Answer(std::move(Response));
       };
   auto *Start = State.Route->isScatter() ? startScatter : startForward;
--- a/citronlever/src/Gateway/ScatterRequest.cpp
+++ b/citronlever/src/Gateway/ScatterRequest.cpp
@@ -20,8 +20,7 @@
   ScatterRequest(GatewayContext &Context, RoutedRequest Routed,
                  AnswerCallback Answer)
       : Context(Context), Routed(std::move(Routed)), Answer(std::move(Answer)),
-        Deadlines(requestDeadlines(this->Routed, Context.Delay)),
-        Timer(Context.Io) {
+        Deadlines(requestDeadlines(this->Routed, Context)), Timer(Context.Io) {
     const RouteSpec &Route = *this->Routed.Route;
     this->Progress.Shards = Route.Shards.size();
     this->Progress.Pending = Route.Shards.size();
@@ -44,6 +43,15 @@
     this->stop();
   }
 
+  void giveUp(std::string_view Reason) override {
+    const TimePoint Now = Clock::now();
+    this->Deadlines.End = Now;
+    this->Progress.AnswerBy = Now;
+    this->Progress.Deadline = Now;
+    this->Reason = Reason;
+    this->advance();
+  }
+
 private:
   /// Load pattern: all leaves of some shards are down, so that queries to the
   /// other shards would be wasted work.
--- a/citronlever/src/Gateway/internal/CallerSession.cpp
+++ b/citronlever/src/Gateway/internal/CallerSession.cpp
@@ -24,6 +24,8 @@
 /// Closing a socket with unread bytes sends a reset that can destroy the answer
 /// on its way. They are read and dropped for this time before the close.
 constexpr Duration LingerTimeout = Milliseconds(500);
+/// Retry-After of a request that was not read whole.
+constexpr Duration UnreadRetryDelay = Milliseconds(50);
 
 bool hasNoBody(int Status) {
   return Status == 204 || Status == 304 || Status < 200;
@@ -93,6 +95,10 @@
   this->Reading = false;
   if (this->Closed)
     return;
+  if (Failure == asio::error::operation_aborted) {
+    this->onReadCancelled();
+    return;
+  }
   if (Failure) {
     this->close();
     return;
@@ -186,10 +192,14 @@
 }
 
 void CallerSession::reject(int Status, std::string_view Reason) {
+  this->reject(rejectionResponse(Status, Reason));
+}
+
+void CallerSession::reject(const HttpResponse &Response) {
   this->KeepAlive = false;
   this->Serving = true;
   ++this->Shared->InFlight;
-  this->answer(rejectionResponse(Status, Reason));
+  this->answer(Response);
 }
 
 void CallerSession::answer(const HttpResponse &Response) {
@@ -250,12 +260,42 @@
     this->close();
 }
 
+bool CallerSession::isReadingRequest() const {
+  return !this->Serving && !this->Writing && !this->Lingering &&
+         (this->HeaderDone || this->Buffer.size() > 0);
+}
+
 void CallerSession::closeIfIdle() {
-  if (this->Lingering || (!this->Serving && !this->Writing &&
-                          !this->HeaderDone && this->Buffer.size() == 0))
+  if (this->Serving || this->Writing || this->Lingering ||
+      this->isReadingRequest())
+    return;
+  // Bytes can have been received whose handler has not run yet. Then the read
+  // ends with them, and the request is served.
+  boost::system::error_code Ignored;
+  this->Socket.cancel(Ignored);
+}
+
+void CallerSession::closeUnlessServing() {
+  if (!this->Serving && !this->Writing)
     this->close();
 }
 
+void CallerSession::onReadCancelled() {
+  boost::system::error_code Ignored;
+  if (this->Socket.available(Ignored) > 0)
+    this->read();
+  else
+    this->close();
+}
+
+void CallerSession::giveUp(std::string_view Reason) {
+  if (const auto Request = this->Active)
+    Request->giveUp(Reason);
+  else if (this->isReadingRequest())
+    this->reject(
+        unservedResponse(Verdict::NotRun, false, UnreadRetryDelay, Reason));
+}
+
 void CallerSession::close() {
   if (std::exchange(this->Closed, true))
     return;
--- a/citronlever/src/Gateway/internal/CallerSession.h
+++ b/citronlever/src/Gateway/internal/CallerSession.h
@@ -36,6 +36,11 @@
   void start();
   /// Closes the connection unless a request is being read or served.
   void closeIfIdle();
+  /// Closes the connection at once unless a request is being served.
+  void closeUnlessServing();
+  /// Sends the final answer to the request that is being served, or refuses the
+  /// one that is being read.
+  void giveUp(std::string_view Reason);
 
 private:
   using Parser =
@@ -44,11 +49,17 @@
   void beginRequest();
   void read();
   void onRead(boost::system::error_code Failure, std::size_t Size);
+  /// Ends an idle connection unless bytes have arrived meanwhile.
+  void onReadCancelled();
+  /// \returns whether a part of a request has been read.
+  bool isReadingRequest() const;
   void parse();
   /// Checks the header of a request and answers Expect: 100-continue.
   void onHeader();
   void serve();
   void reject(int Status, std::string_view Reason);
+  /// Sends \p Response to a request that was not read whole.
+  void reject(const HttpResponse &Response);
   void rejectParseError(boost::system::error_code Failure);
   void answer(const HttpResponse &Response);
   void onWritten(boost::system::error_code Failure);
--- a/citronlever/src/Gateway/internal/RequestDeadlines.h
+++ b/citronlever/src/Gateway/internal/RequestDeadlines.h
@@ -23,18 +23,19 @@
 inline constexpr Duration EndMargin = Milliseconds(10);
 
 /// \returns the deadlines of a request.
-/// \param Delay delay of the event loop, which shortens the time for an answer.
+/// The delay of the event loop shortens the time for an answer.
 inline RequestDeadlines requestDeadlines(const RoutedRequest &Routed,
-                                         const LoopDelay &Delay) {
+                                         const GatewayContext &Context) {
   const TimePoint Received = Routed.Request->Received;
   const Duration Timeout =
       std::min(Routed.CallerTimeout, Routed.Route->Timeout);
   RequestDeadlines Result;
-  Result.LeafDeadline = Received + Timeout;
-  Result.End = Received + std::max(Timeout - EndMargin, Timeout / 2);
+  Result.LeafDeadline = std::min(Received + Timeout, Context.ServeUntil);
+  Result.End = std::min(Received + std::max(Timeout - EndMargin, Timeout / 2),
+                        Context.ServeUntil);
   Result.AnswerBy =
       latestAnswerTime(Received, Routed.Route->LatencyObjective, Routed.Timing,
-                       AnswerMargin + 2 * Delay.mean());
+                       AnswerMargin + 2 * Context.Delay.mean());
   return Result;
 }
 
--- a/test/UsersPlatform/PlannedStopTest.cpp
+++ b/test/UsersPlatform/PlannedStopTest.cpp
@@ -30,7 +30,9 @@
     Stop.begin(Start);
     DOCTEST_CHECK(Stop.isDone(5, Stop.deadline()));
     DOCTEST_CHECK(Stop.deadline() <= Start + Limit);
-    DOCTEST_CHECK(Stop.addressesExpireAt() <= Stop.deadline());
+    DOCTEST_CHECK(Stop.addressesExpireAt() <= Stop.lastAnswersAt());
+    DOCTEST_CHECK(Stop.lastAnswersAt() <= Stop.deadline());
+    DOCTEST_CHECK(!Stop.isDone(5, Stop.deadline() - Milliseconds(1)));
   }
 }
 
