Give up answers whose chunk line or trailer never ends

Cause: the parser limits head and body, but asks for more until such a line ends. In noded that took the 16 MB that all unfinished answers share, in the own layout any amount until the call was abandoned.

Evidence: the tests before the change: noded's leaf wrote 16,777,216 bytes (8,388,608 allowed) before the end, twice; in test_upstream no outcome within 20 s of 64 MB.

Change: bytes that can't be parsed yet are limited, 48 KB in ChannelConnection and 128 KB in LeafConnection; by reading only the same in HttpClient and HttpSession.

--- a/citronlever/src/Core/HttpClient.cpp
+++ b/citronlever/src/Core/HttpClient.cpp
@@ -20,13 +20,18 @@
 
 namespace {
 
+/// Bytes of an answer that may wait for more before they can be parsed. The
+/// parser itself doesn't limit the line of a chunk's size and extension, or
+/// trailers.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
+
 /// A keep-alive connection to the server.
 struct Connection {
   explicit Connection(asio::io_context &Context)
       : Stream(asio::make_strand(Context)) {}
 
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   TimePoint LastUsed{};
 };
 
--- a/citronlever/src/Core/internal/HttpSession.cpp
+++ b/citronlever/src/Core/internal/HttpSession.cpp
@@ -18,6 +18,11 @@
 
 namespace {
 
+/// Bytes of a request that may wait for more before they can be parsed. The
+/// parser itself doesn't limit the line of a chunk's size and extension, or
+/// trailers.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
+
 class Session final : public HttpSession,
                       public HttpCaller,
                       public std::enable_shared_from_this<Session> {
@@ -223,7 +228,7 @@
 
   beast::tcp_stream Stream;
   std::shared_ptr<HttpServerShared> Shared;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<http::request_parser<http::string_body>> Parser;
   bool KeepAlive = true;
   bool Idle = false;
--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -16,6 +16,9 @@
 
 constexpr std::size_t ReadChunkBytes = 16 << 10;
 constexpr std::uint32_t MaxAnswerHeaderBytes = 32 << 10;
+/// Bytes that may wait for more before they can be parsed. The parser itself
+/// doesn't limit the line of a chunk's size and extension, or trailers.
+constexpr std::size_t MaxUnparsedBytes = MaxAnswerHeaderBytes + ReadChunkBytes;
 /// Number of answers that may precede the one to the current request: interim
 /// ones (status 1xx) and second ones to earlier requests.
 constexpr int MaxSkippedAnswers = 16;
@@ -176,7 +179,8 @@
     const std::size_t Consumed =
         this->AnswerParser->put(this->Buffer.data(), Failure);
     this->Buffer.consume(Consumed);
-    if (Failure == http::error::need_more)
+    if (Failure == http::error::need_more &&
+        this->Buffer.size() <= MaxUnparsedBytes)
       return;
     if (Failure) {
       this->close("malformed answer: " + Failure.message());
--- a/citronlever/src/Upstream/internal/LeafConnection.h
+++ b/citronlever/src/Upstream/internal/LeafConnection.h
@@ -69,7 +69,11 @@
   const LeafClientSettings Settings;
   IdleHandler OnIdle;
   ClosedHandler OnClosed;
-  boost::beast::flat_buffer Buffer;
+  /// Bytes that may wait for more before they can be parsed. The parser itself
+  /// doesn't limit the line of a chunk's size and extension, or trailers.
+  static constexpr std::size_t MaxUnparsedBytes = 128 << 10;
+
+  boost::beast::flat_buffer Buffer{MaxUnparsedBytes};
   using Parser =
       boost::beast::http::response_parser<boost::beast::http::string_body>;
   std::optional<Parser> Reply;
--- a/test/Gateway/LeafChannelTest.cpp
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -224,10 +224,13 @@
 
 DOCTEST_TEST_CASE("a head or body that never ends is given up, and the leaf is "
                   "judged by it") {
+  constexpr std::size_t MaxOnTheWay = 7 << 20;
   std::string Start;
+  std::size_t Written = 0;
   bool Ended = false;
   Fixture Test([&](const std::string &, RawLeaf::Peer &To) {
     To.write(Start);
+    Written = 0;
     // Bytes go out until the caller closes the connection.
     const std::string Chunk(64 << 10, 'x');
     auto Timer = std::make_shared<boost::asio::steady_timer>(Test.Io);
@@ -235,6 +238,7 @@
     *Next = [&, Timer, Next, Chunk, Peer = To.shared_from_this()] {
       if (Ended || !Peer->tryWrite(Chunk))
         return;
+      Written += Chunk.size();
       Timer->expires_after(Milliseconds(1));
       Timer->async_wait([Next](auto) { (*Next)(); });
     };
@@ -242,8 +246,14 @@
   });
   Test.Settings.MaxAnswerBytes = 1 << 20;
   Test.renewChannel();
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::vector<std::string> Starts = {
-      "", "HTTP/1.1 200 OK\r\nX-Long: ",
+      "",
+      "HTTP/1.1 200 OK\r\nX-Long: ",
+      "HTTP/1.1 103 Early\r\nX-Long: ",
+      Chunked + "4;long=",
+      Chunked + "4\r\nbody\r\n0\r\nX-Long: ",
       "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n",
       "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 999999999999\r\n"
       "\r\n"};
@@ -258,6 +268,8 @@
                   Before);
     DOCTEST_CHECK(Test.Totals.UnfinishedBytes == 0);
     DOCTEST_CHECK(Test.Channel->connections() == 0);
+    // A chunk and the socket buffers on the way come on top.
+    DOCTEST_CHECK(Written <= Test.Settings.MaxAnswerBytes + MaxOnTheWay);
     Ended = true;
   }
 }
--- a/test/Upstream/LeafClientTest.cpp
+++ b/test/Upstream/LeafClientTest.cpp
@@ -1,5 +1,6 @@
 #include "citronlever/Upstream"
 #include "test/Upstream/FakeLeaf.h"
+#include "test/standins/RawLeaf.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 
@@ -53,6 +54,34 @@
   std::thread Runner;
 };
 
+/// A RawLeaf and the thread that runs it.
+struct RunningRawLeaf {
+  explicit RunningRawLeaf(RawLeaf::Serving Serve)
+      : Leaf(this->Context, std::move(Serve)),
+        Runner([this] { this->Context.run(); }) {}
+  ~RunningRawLeaf() {
+    this->Context.stop();
+    this->Runner.join();
+  }
+
+  boost::asio::io_context Context;
+  RawLeaf Leaf;
+  std::thread Runner;
+};
+
+/// Sends one request to \p Leaf and waits for its outcome.
+LeafReply askOnce(ClientFixture &Fixture, const RunningRawLeaf &Leaf) {
+  LeafCall Call;
+  Call.Address = Leaf.Leaf.address();
+  Call.Target = "/leaf/lookup";
+  Call.Id = Fixture.Ids.next();
+  Call.Body = std::make_shared<const std::string>();
+  Call.TimeLeft = Seconds(1);
+  auto Reply = Fixture.send(Call);
+  DOCTEST_REQUIRE(Reply.wait_for(Seconds(20)) == std::future_status::ready);
+  return Reply.get();
+}
+
 std::optional<FakeReply> echoNoRows(const FakeRequest &In) {
   return FakeLeaf::echo(In, 200, R"({"rows":[]})");
 }
@@ -138,3 +167,24 @@
   DOCTEST_CHECK((First.get().Outcome == LeafOutcome::Abandoned));
   DOCTEST_CHECK((Second.get().Outcome == LeafOutcome::Abandoned));
 }
+
+// Guards against a leaf whose bytes without end fill the memory of its caller.
+DOCTEST_TEST_CASE("a head or chunk that never ends is given up") {
+  constexpr std::size_t EndlessBytes = 64 << 20;
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> Starts = {
+      "", "HTTP/1.1 200 OK\r\nX-Long: ", Chunked + "4;long=",
+      Chunked + "4\r\nbody\r\n0\r\nX-Long: "};
+  for (const std::string &Start : Starts) {
+    DOCTEST_INFO(Start);
+    const RunningRawLeaf Leaf([&](const std::string &, RawLeaf::Peer &To) {
+      To.writeInBackground(Start + std::string(EndlessBytes, 'x'));
+    });
+    ClientFixture Fixture;
+    const LeafReply Result = askOnce(Fixture, Leaf);
+    DOCTEST_CHECK((Result.Outcome == LeafOutcome::ConnectionLost));
+    DOCTEST_CHECK((Result.RunVerdict == Verdict::MayHaveRun));
+    DOCTEST_CHECK(Fixture.Client->counters().Open == 0);
+  }
+}
