--- a/test/Gateway/LeafChannelTest.cpp
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -274,6 +274,32 @@
   }
 }
 
+// Guards against answers that are cut off and reach the caller as whole ones.
+DOCTEST_TEST_CASE("an answer that ends before its last byte is lost, wherever "
+                  "that is") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
+  const std::string NoLength = Head + "\r\n";
+  const std::vector<std::string> Answers = {
+      Head + "Content-Length: 4\r\n\r\nbody",
+      Head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+      NoLength};
+  for (const bool Reset : {false, true}) {
+    for (const std::string &Whole : Answers) {
+      for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+        DOCTEST_INFO(Whole.substr(0, Size) << " reset " << Reset);
+        Fixture Test([&](const std::string &, RawLeaf::Peer &To) {
+          To.write(Whole.substr(0, Size));
+          if (Reset)
+            To.reset();
+          else
+            To.close();
+        });
+        DOCTEST_CHECK((Test.callOnce("a").Outcome == ChannelOutcome::Lost));
+      }
+    }
+  }
+}
+
 DOCTEST_TEST_CASE(
     "many unfinished answers hold a bounded amount of memory, and "
     "small answers are still read") {
--- a/test/Upstream/LeafClientTest.cpp
+++ b/test/Upstream/LeafClientTest.cpp
@@ -188,3 +188,23 @@
     DOCTEST_CHECK(Fixture.Client->counters().Open == 0);
   }
 }
+
+// Guards against answers that are cut off and count as whole ones.
+DOCTEST_TEST_CASE("a reply that ends before its last byte is lost, wherever "
+                  "that is") {
+  for (const char *Framed :
+       {"Content-Length: 4\r\n\r\nbody",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+    const std::string Whole = std::string("HTTP/1.1 200 OK\r\n") + Framed;
+    for (std::size_t Size = 0; Size < Whole.size(); ++Size) {
+      DOCTEST_INFO(Whole.substr(0, Size));
+      const RunningRawLeaf Leaf([&](const std::string &, RawLeaf::Peer &To) {
+        To.write(Whole.substr(0, Size));
+        To.close();
+      });
+      ClientFixture Fixture;
+      DOCTEST_CHECK(
+          (askOnce(Fixture, Leaf).Outcome == LeafOutcome::ConnectionLost));
+    }
+  }
+}
