Let a planned stop of entryd wait until answers are written

What callers saw: a large answer, or one read slowly, can break off at the end of a planned stop of entryd.

Cause: a request was no longer in flight when the write of its answer began, and the process ends 0.3 s after nothing is in flight.

Evidence: test_core, an answer of 32 MB that its caller does not read: 0 in flight before, 1 now until it is read. The end of the process with it was not played.

Change: HttpSession counts a request until its answer is written or its connection has failed, and an entry's stop waits for that count too.

--- a/citronlever/src/Core/HttpServer.h
+++ b/citronlever/src/Core/HttpServer.h
@@ -66,7 +66,7 @@
     std::uint64_t Refused = 0;
     /// Connections open now.
     std::size_t Connections = 0;
-    /// Requests passed to the handler and not answered yet.
+    /// Requests passed to the handler whose answer is not written yet.
     std::size_t InFlight = 0;
   };
   Counters counters() const;
--- a/citronlever/src/Core/internal/HttpSession.cpp
+++ b/citronlever/src/Core/internal/HttpSession.cpp
@@ -74,7 +74,6 @@
       asio::post(
           this->Owner->Stream.get_executor(),
           [Self = this->Owner, Response = std::move(Response)]() mutable {
-            Self->Shared->InFlight.fetch_sub(1);
             Self->write(std::move(Response));
           });
     }
@@ -149,6 +148,7 @@
   void handleRequest() {
     this->Shared->Requests.fetch_add(1);
     this->Shared->InFlight.fetch_add(1);
+    this->Counted = true;
     this->Stream.expires_never();
     auto Message = this->Parser->release();
     this->KeepAlive = Message.keep_alive();
@@ -212,6 +212,8 @@
     http::async_write(this->Stream, *Message,
                       [Self = this->shared_from_this(),
                        Message](beast::error_code Failure, std::size_t) {
+                        if (std::exchange(Self->Counted, false))
+                          Self->Shared->InFlight.fetch_sub(1);
                         if (Failure || !Self->KeepAlive)
                           Self->close();
                         else
@@ -233,6 +235,8 @@
   bool KeepAlive = true;
   bool Idle = false;
   bool Serving = false;
+  /// The request counts as in flight until its answer is written.
+  bool Counted = false;
   bool Watching = false;
   std::function<void()> OnDisconnect;
 };
--- a/citronlever/src/Entry/internal/EntryState.cpp
+++ b/citronlever/src/Entry/internal/EntryState.cpp
@@ -293,7 +293,11 @@
   std::function<void()> Done;
   {
     const std::lock_guard Lock(this->LifecycleMutex);
-    this->Lifecycle.tick(this->Core->InFlight + this->PendingRequests, Now);
+    // The server counts answers that are being written as well.
+    const std::size_t Unwritten =
+        this->Server ? this->Server->counters().InFlight : 0;
+    this->Lifecycle.tick(
+        std::max(this->Core->InFlight + this->PendingRequests, Unwritten), Now);
     const EntryPhase Phase = this->Lifecycle.phase();
     this->Refusing = Phase >= EntryPhase::Refusing;
     if (Phase == EntryPhase::Stopped)
--- a/test/Core/HttpTest.cpp
+++ b/test/Core/HttpTest.cpp
@@ -113,6 +113,33 @@
   DOCTEST_CHECK(Result.Response.Close);
 }
 
+// Guards against a planned stop of entryd that cuts an answer being written.
+DOCTEST_TEST_CASE("a request is in flight until its answer is written whole") {
+  constexpr std::size_t AnswerBytes = 32 << 20;
+  ServerFixture Fixture([](const auto &, const HttpReply &Reply) {
+    HttpResponse Response;
+    Response.Body.assign(AnswerBytes, 'x');
+    Reply(Response);
+  });
+  boost::asio::io_context Own;
+  boost::asio::ip::tcp::socket Socket(Own);
+  Socket.connect({boost::asio::ip::make_address("127.0.0.1"), Fixture.Port});
+  boost::asio::write(
+      Socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n"
+                                              "Connection: close\r\n\r\n")));
+  std::string Answer(1024, '\0');
+  boost::asio::read(Socket, boost::asio::buffer(Answer));
+  std::this_thread::sleep_for(Milliseconds(100));
+  DOCTEST_CHECK(Fixture.Server.counters().InFlight == 1);
+  boost::system::error_code End;
+  boost::asio::read(Socket, boost::asio::dynamic_buffer(Answer), End);
+  DOCTEST_CHECK(Answer.size() > AnswerBytes);
+  const TimePoint Limit = Clock::now() + Seconds(5);
+  while (Fixture.Server.counters().InFlight > 0 && Clock::now() < Limit)
+    std::this_thread::sleep_for(Milliseconds(1));
+  DOCTEST_CHECK(Fixture.Server.counters().InFlight == 0);
+}
+
 DOCTEST_TEST_CASE("a refused connection is reported as NotSent") {
   ServerFixture Fixture(echo);
   std::uint16_t Unused = 0;
