--- a/test/integration/edge_fleet.py
+++ b/test/integration/edge_fleet.py
@@ -27,7 +27,11 @@
 TIME_LEFT = "Citronlever-Deadline-Ms"
 SEAL = "Citronlever-Response-Seal"
 EXPECTED_LEAF = "Citronlever-Expect-Instance"
-NOT_RUN = "Citronlever-Not-Executed"
+PARTS = "Citronlever-Part-Stamps"
+MISSING = "Citronlever-Missing-Parts"
+SHARDS = 8
+MIN_COVERAGE = 0.85
+SHARD_WORK_S = 0.011
 REASONS = {200: "OK", 404: "Not Found", 412: "Precondition Failed",
            421: "Misdirected Request", 503: "Service Unavailable"}
 
@@ -237,9 +241,12 @@
             await asyncio.sleep(self.work())
             run.ended = time.monotonic()
             self.running -= 1
-        writer.write(response(200, {REQUEST_ID: request_id, SEAL: f"seal.{request_id}",
+        is_shard = self.service.startswith("shard-")
+        seal = f"{self.service}.{request_id}" if is_shard else f"seal.{request_id}"
+        body = self.service.encode().ljust(16) if is_shard else b"done " + request_id.encode()
+        writer.write(response(200, {REQUEST_ID: request_id, SEAL: seal,
                                     "Citronlever-Server-Load": f"{self.running},0,{self.slots}"},
-                              b"done " + request_id.encode()))
+                              body))
         await writer.drain()
 
 
@@ -354,6 +361,28 @@
     status: int = None
     body: bytes = b""
     seal: str = ""
+    parts: str = ""
+    missing: int = 0
+
+    def take(self, answer):
+        """Takes over (status, headers, body)."""
+        self.status, headers, self.body = answer
+        self.seal = headers.get(SEAL.lower(), "")
+        self.parts = headers.get(PARTS.lower(), "")
+        self.missing = int(headers.get(MISSING.lower(), 0))
+
+    def is_right(self):
+        """Whether a success belongs to the request and is whole."""
+        if not self.parts:
+            return (self.body == b"done " + self.request_id.encode() and
+                    self.seal == f"seal.{self.request_id}")
+        named = [part.strip().partition(".") for part in self.parts.split(",")]
+        shards = {shard for shard, _, _ in named}
+        return (len(shards) == len(named) == SHARDS - self.missing and
+                len(shards) >= MIN_COVERAGE * SHARDS and
+                all(request_id == self.request_id for _, _, request_id in named) and
+                self.body == b"".join(shard.encode().ljust(16)
+                                      for shard in sorted(shards, reverse=True)))
 
 
 class Ledger:
@@ -401,8 +430,7 @@
                 lines.append("ran twice: " + self.describe(outcome))
             if outcome.method == "POST" and outcome.status in (408, 421, 429, 503) and runs:
                 lines.append("refused, but ran: " + self.describe(outcome))
-            wanted = (b"done " + outcome.request_id.encode(), "seal." + outcome.request_id)
-            if outcome.status == 200 and (outcome.body, outcome.seal) != wanted:
+            if outcome.status == 200 and not outcome.is_right():
                 lines.append("wrong answer: " + self.describe(outcome))
         return lines
 
@@ -412,6 +440,8 @@
 
     \p patience: how many times its time to live an address is used."""
 
+    kinds = (("GET", "/find/x"), ("POST", "/create/x"), ("GET", "/match/x"))
+
     def __init__(self, number, nodes, ledger, rng, budget_s=6.0, patience=1, gap_s=0.3):
         self.number, self.nodes, self.ledger, self.rng = number, nodes, ledger, rng
         self.budget_s, self.patience, self.gap_s = budget_s, patience, gap_s
@@ -446,7 +476,7 @@
 
     async def send(self):
         self.count += 1
-        method, path = self.rng.choice((("GET", "/find/x"), ("POST", "/create/x")))
+        method, path = self.rng.choice(self.kinds)
         request_id = f"c{self.number}-{self.count}"
         sent = time.monotonic()
         answer = await self.connection.ask(
@@ -454,8 +484,7 @@
             b"x" if method == "POST" else b"")
         outcome = Outcome(request_id, method, self.node, sent, time.monotonic(), self.budget_s)
         if answer:
-            outcome.status, outcome.body = answer[0], answer[2]
-            outcome.seal = answer[1].get(SEAL.lower(), "")
+            outcome.take(answer)
         self.ledger.outcomes.append(outcome)
         if not answer or answer[1].get("connection", "").lower() == "close":
             self.connection.close()
@@ -473,20 +502,29 @@
                "timeoutMs": budget_ms, "targetLatencyMs": objective_ms, "priority": 1,
                "service": "cards", "attempts": 2}
               for name, kind in (("find", "idempotent"), ("create", "non_idempotent"))]
-    service = {"name": "cards", "healthPath": "/health", "maxConnections": 110,
-               "protocol": "h1", "tls": False, "warmupS": 3.0, "warmupPerS": 0.0}
+    shards = [f"shard-{n}" for n in range(SHARDS)]
+    routes.append({"name": "r-match", "host": HOST_NAME, "prefix": "/match/",
+                   "routeType": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 100,
+                   "priority": 0, "fanout": shards, "topK": SHARDS,
+                   "minCoverage": MIN_COVERAGE, "attempts": 2})
+    services = [{"name": name, "healthPath": "/health", "maxConnections": 110,
+                 "protocol": "h1", "tls": False, "warmupS": 3.0, "warmupPerS": 0.0}
+                for name in ["cards", *shards]]
     limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
               "idleTimeoutMs": 15000}
-    return json.dumps({"version": 1, "routes": routes, "services": [service],
+    return json.dumps({"version": 1, "routes": routes, "services": services,
                        "limits": limits}).encode()
 
 
 async def start_fleet(program, folder, vms, leaf_works, slots, budget_s, objective_s):
-    """Returns the store, the leaves and the nodes, which are ready."""
+    """Starts leaves of one service with the given works, two of each shard, and the
+    processes. Returns the store, the leaves and the processes, not ready yet."""
     store = Store()
     await store.start()
     store.put("op/config", configuration(int(budget_s * 1000), int(objective_s * 1000)))
     leaves = [Leaf(store, "cards", f"i-{n}", work, slots) for n, work in enumerate(leaf_works)]
+    leaves += [Leaf(store, f"shard-{n % SHARDS}", f"m-{n}", lambda: SHARD_WORK_S)
+               for n in range(2 * SHARDS)]
     for leaf in leaves:
         await leaf.start()
     nodes = [Noded(program, folder, f"vm{n}", store.port) for n in range(vms)]
--- a/test/integration/noded_stop_test.py
+++ b/test/integration/noded_stop_test.py
@@ -37,8 +37,7 @@
             method, path, {fleet.REQUEST_ID: f"q-{number}", fleet.TIME_LEFT: int(BUDGET_S * 1000)})
         outcome = fleet.Outcome(f"q-{number}", method, node, sent, time.monotonic(), BUDGET_S)
         if answer:
-            outcome.status, outcome.body = answer[0], answer[2]
-            outcome.seal = answer[1].get(fleet.SEAL.lower(), "")
+            outcome.take(answer)
         self.ledger.outcomes.append(outcome)
         connection.close()
 
