Register again when the registration was replaced or removed

Cause: the store executes a write of the killed process late, which binds the member's key to the earlier lease, and the end of that lease removes it. MemberLease wrote without a condition and never looked at its key again.

Change: after each read and watch the key is compared with the registration that the store has confirmed; a lost one is written again, spread over the members and with a backoff (event 306).

--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -175,9 +175,12 @@
   const TimePoint Now = Clock::now();
   this->Leaves.onStoreRecovered(Now);
   this->Members.onStoreRecovered(Now);
-  this->Lease->onStoreRecovered(
-      RecoverySpreadPerMember *
-      static_cast<Duration::rep>(this->Members.servingMembers().size()));
+  this->Lease->onStoreRecovered(this->recoverySpread());
+}
+
+Duration EdgeNode::recoverySpread() const {
+  return RecoverySpreadPerMember *
+         static_cast<Duration::rep>(this->Members.servingMembers().size());
 }
 
 void EdgeNode::onStoreRead() {
@@ -188,6 +191,9 @@
   this->updatePeers();
   if (!std::exchange(this->LeaseStarted, true))
     this->Lease->start();
+  this->Lease->onStoreRead(
+      this->Mirror.find(this->Documents.memberKey(this->Settings.Name)),
+      this->Feed->asOf(), this->recoverySpread());
 }
 
 void EdgeNode::updateRelays() {
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -83,6 +83,9 @@
   /// Handles the end of an outage of the store: entries that expired in it are
   /// kept until their owners have had time to register again.
   void onStoreRecovered();
+  /// \returns the time within which the members register again if all of them
+  /// have to.
+  Duration recoverySpread() const;
   /// Chooses the members through which the store is watched.
   void updateRelays();
   /// Passes the entries on to the probe and the rollout coordinator.
--- a/citronlever/src/Registry/MemberLease.cpp
+++ b/citronlever/src/Registry/MemberLease.cpp
@@ -1,6 +1,7 @@
 #include "citronlever/src/Registry/MemberLease.h"
 
 #include "citronlever/src/Core/Event.h"
+#include "citronlever/src/Registry/RegistrationCheck.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -43,8 +44,26 @@
                         this->FailedStep);
 }
 
+void MemberLease::onStoreRead(const StoreItem *Seen, std::uint64_t AsOf,
+                              Duration Spread) {
+  if (this->Released ||
+      !isRegistrationLost({this->ConfirmedValue, this->ConfirmedRevision}, Seen,
+                          AsOf))
+    return;
+  // Until the next write is confirmed, what is seen says nothing new.
+  this->ConfirmedRevision = 0;
+  logEvent(event::MemberRegistrationLost, this->Registration.Name);
+  const Duration Delay = std::max(Spread, this->RewriteDelay);
+  this->RewriteDelay =
+      std::clamp(2 * this->RewriteDelay, this->Settings.MinRetryDelay,
+                 this->Settings.MaxRetryDelay);
+  this->scheduleAfter(this->randomDelay(Duration::zero(), Delay),
+                      &MemberLease::writeRegistration);
+}
+
 void MemberLease::requestLease() {
   this->Lease = 0;
+  this->ConfirmedRevision = 0;
   this->FailedStep = nullptr;
   this->Store.grantLease(
       this->Settings.TimeToLive,
@@ -63,24 +82,29 @@
 
 void MemberLease::writeRegistration() {
   this->FailedStep = nullptr;
+  std::string Value = encodeMember(this->Registration);
   StoreWrite Write;
   Write.Key = this->Documents.memberKey(this->Registration.Name);
-  Write.Value = encodeMember(this->Registration);
+  Write.Value = Value;
   Write.Lease = this->Lease;
-  this->Store.write(std::move(Write), [Self = this->shared_from_this()](
-                                          const StoreWriteResult &Reply) {
-    if (Self->Released)
-      return;
-    if (Reply.Status == StoreStatus::Done) {
-      Self->RetryDelay = Duration::zero();
-      Self->scheduleAfter(Self->Settings.RenewalPeriod,
-                          &MemberLease::renewLease);
-    } else if (Reply.Status == StoreStatus::Absent) {
-      Self->retryLater(&MemberLease::requestLease);
-    } else {
-      Self->retryLater(&MemberLease::writeRegistration);
-    }
-  });
+  this->ConfirmedRevision = 0;
+  this->Store.write(std::move(Write),
+                    [Self = this->shared_from_this(),
+                     Value = std::move(Value)](const StoreWriteResult &Reply) {
+                      if (Self->Released)
+                        return;
+                      if (Reply.Status == StoreStatus::Done) {
+                        Self->ConfirmedValue = Value;
+                        Self->ConfirmedRevision = Reply.Revision;
+                        Self->RetryDelay = Duration::zero();
+                        Self->scheduleAfter(Self->Settings.RenewalPeriod,
+                                            &MemberLease::renewLease);
+                      } else if (Reply.Status == StoreStatus::Absent) {
+                        Self->retryLater(&MemberLease::requestLease);
+                      } else {
+                        Self->retryLater(&MemberLease::writeRegistration);
+                      }
+                    });
 }
 
 void MemberLease::renewLease() {
@@ -91,6 +115,12 @@
       return;
     if (Reply.Status == StoreStatus::Done) {
       Self->RetryDelay = Duration::zero();
+      // The registration was lost while the call was under way.
+      if (Self->ConfirmedRevision == 0) {
+        Self->writeRegistration();
+        return;
+      }
+      Self->RewriteDelay = Duration::zero();
       Self->scheduleAfter(Self->Settings.RenewalPeriod,
                           &MemberLease::renewLease);
       return;
--- a/citronlever/src/Registry/MemberLease.h
+++ b/citronlever/src/Registry/MemberLease.h
@@ -7,6 +7,7 @@
 
 #include <memory>
 #include <random>
+#include <string>
 
 namespace citronlever {
 
@@ -20,7 +21,8 @@
 };
 
 /// Keeps this process registered in the store under a lease. Renews the lease
-/// periodically and registers again if it has expired.
+/// periodically and registers again if it has expired, or if the registration
+/// was replaced or removed.
 class MemberLease : public std::enable_shared_from_this<MemberLease> {
 public:
   MemberLease(boost::asio::io_context &Context, KeyValueStore &Store,
@@ -34,6 +36,12 @@
   /// responds again after an outage.
   void onStoreRecovered(Duration Spread);
 
+  /// Registers again within \p Spread if a read or watch shows that the store
+  /// no longer holds the registration.
+  /// \param Seen the item under the member's key, or null.
+  /// \param AsOf store revision of the read or watch.
+  void onStoreRead(const StoreItem *Seen, std::uint64_t AsOf, Duration Spread);
+
   /// Marks the registration as leaving, so that other members no longer direct
   /// callers to this process.
   void announceLeaving();
@@ -62,6 +70,12 @@
   Duration RetryDelay{};
   /// The step that is retried, or null.
   void (MemberLease::*FailedStep)() = nullptr;
+  /// The registration that the store holds according to its last answer.
+  std::string ConfirmedValue;
+  std::uint64_t ConfirmedRevision = 0;
+  /// Last delay before a lost registration is written again; zero while none is
+  /// lost.
+  Duration RewriteDelay{};
   bool Released = false;
 };
 
--- a/test/Gateway/LeafChannelTest.cpp
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -246,17 +246,16 @@
   });
   Test.Settings.MaxAnswerBytes = 1 << 20;
   Test.renewChannel();
-  const std::string Chunked =
-      "HTTP/1.1 200 OK\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string SignedHead = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
+  const std::string Chunked = SignedHead + "Transfer-Encoding: chunked\r\n\r\n";
   const std::vector<std::string> Starts = {
       "",
       "HTTP/1.1 200 OK\r\nX-Long: ",
       "HTTP/1.1 103 Early\r\nX-Long: ",
       Chunked + "4;long=",
       Chunked + "4\r\nbody\r\n0\r\nX-Long: ",
-      "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 999999999999\r\n"
-      "\r\n"};
+      SignedHead + "\r\n",
+      SignedHead + "Content-Length: 999999999999\r\n\r\n"};
   for (const std::string &Bytes : Starts) {
     DOCTEST_INFO(Bytes);
     Start = Bytes;
