Tell callers whose waiting request a stopping process drops to come back soon

What callers saw, by reading only: a request that waited for admission when a stop gave it up was told to return after up to a third of its time, as under overload. Another process can serve it at once, so it gets the shortest delay.

--- a/citronlever/src/Gateway/AdmissionQueue.cpp
+++ b/citronlever/src/Gateway/AdmissionQueue.cpp
@@ -59,7 +59,8 @@
       return;
     }
     this->stopWaiting();
-    this->reject(Reason);
+    // Other processes can serve the request at once.
+    this->reject(Reason, minRetryDelay(this->Routed.Route->LatencyObjective));
   }
 
 private:
@@ -116,7 +117,10 @@
     if (Admitted)
       this->startRequest();
     else
-      this->reject("leaves have no capacity");
+      this->reject("leaves have no capacity",
+                   overloadRetryDelay(this->Routed.Route->LatencyObjective,
+                                      this->Routed.CallerTimeout,
+                                      this->Context.random()));
   }
 
   void stopWaiting() {
@@ -126,14 +130,10 @@
     const auto Self = std::exchange(this->SelfWhileWaiting, nullptr);
   }
 
-  void reject(std::string_view Reason) {
+  void reject(std::string_view Reason, Duration RetryDelay) {
     const AnswerCallback Reply = std::exchange(this->Answer, nullptr);
     ++this->Context.Counters.TurnedAway;
-    Reply(unservedResponse(
-        Verdict::NotRun, false,
-        overloadRetryDelay(this->Routed.Route->LatencyObjective,
-                           this->Routed.CallerTimeout, this->Context.random()),
-        Reason));
+    Reply(unservedResponse(Verdict::NotRun, false, RetryDelay, Reason));
   }
 
   void startRequest() {
