Never block an I/O thread in the watch for a caller's disconnect

Cause: the handler of an earlier request's wait can run when the next request of the connection has been read. Its peek then finds nothing, and the blocking receive holds an I/O thread and the connection's strand until the caller sends more or closes.

Change: the server's sockets are non-blocking; a wait that ends without bytes begins anew for the current request.

The tests' deployments still set one thread.

--- a/citronlever/src/Core/internal/HttpSession.cpp
+++ b/citronlever/src/Core/internal/HttpSession.cpp
@@ -36,6 +36,9 @@
 
   void start() {
     setSocketOptions(this->Stream.socket());
+    // The peek of a watch must not wait for bytes.
+    beast::error_code Ignored;
+    this->Stream.socket().non_blocking(true, Ignored);
     asio::dispatch(this->Stream.get_executor(),
                    [Self = this->shared_from_this()] { Self->readHeader(); });
   }
@@ -175,6 +178,10 @@
   /// handled. Stops watching when bytes of a pipelined request arrive.
   void watchForDisconnect(std::function<void()> Callback) {
     this->OnDisconnect = std::move(Callback);
+    this->waitForDisconnect();
+  }
+
+  void waitForDisconnect() {
     if (std::exchange(this->Watching, true))
       return;
     this->Stream.socket().async_wait(
@@ -188,7 +195,11 @@
             Self->Stream.socket().receive(asio::buffer(&Byte, 1),
                                           asio::socket_base::message_peek,
                                           Failure);
-          if (Failure && Failure != asio::error::would_block)
+          // The wait began for an earlier request, and the bytes that ended it
+          // have been read as the current one.
+          if (Failure == asio::error::would_block)
+            Self->waitForDisconnect();
+          else if (Failure)
             std::exchange(Self->OnDisconnect, nullptr)();
         });
   }
--- a/cmake/Citron.cmake
+++ b/cmake/Citron.cmake
@@ -64,7 +64,7 @@
   citron_program(test_${Lower} ${CMAKE_SOURCE_DIR}/test/main.cpp ${Sources} LIBS ${Libs})
   target_compile_definitions(test_${Lower} PRIVATE DOCTEST_CONFIG_NO_SHORT_MACRO_NAMES)
   target_link_libraries(test_${Lower} PRIVATE rapidcheck)
-  add_test(NAME ${Name} COMMAND test_${Lower} "-tce=bound: *,a repeat gets the first outcome*,a lost owner's calls go to the stand-by*,in a store outage members stay fresh*")
+  add_test(NAME ${Name} COMMAND test_${Lower} "-tce=bound: *,a repeat gets the first outcome*,in a store outage members stay fresh*")
   # Fixed seed and number of cases for property tests. test/main.cpp fails a run
   # without any assertion.
   set_tests_properties(${Name} PROPERTIES
