Send a waiting call once when an expired connection is closed

Cause: sendWaiting() closes expired idle connections on its way to a usable one. The close calls the channel back, which ran sendWaiting() once more; that sent the waiting call, and the outer loop took the first call from a queue that was empty by then.

Change: nested calls of sendWaiting() return at once, and the outermost looks again after each step (ReentryGuard). No callback can run between the check that a call waits and a connection is idle, and the send. ChannelCall::OnSent, which nobody set, is gone.

--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -1,5 +1,6 @@
 #include "citronlever/src/Gateway/LeafChannel.h"
 
+#include "citronlever/src/Core/ReentryGuard.h"
 #include "citronlever/src/Gateway/internal/ChannelConnection.h"
 
 #include <algorithm>
@@ -33,34 +34,48 @@
 }
 
 void LeafChannel::sendWaiting() {
+  // Closing an expired connection and a connection that fails at once both end
+  // here again.
+  const ReentryGuard Guard(this->Sending);
+  if (!Guard.isOutermost())
+    return;
   const TimePoint Now = Clock::now();
-  while (!this->Waiting.empty()) {
-    const std::shared_ptr<ChannelConnection> Connection =
-        this->takeIdleConnection(Now);
-    if (!Connection)
-      break;
-    const ChannelCallPtr Call = this->Waiting.front();
-    this->Waiting.pop_front();
-    Connection->send(Call, Now);
+  while (this->sendFirstWaiting(Now) || this->openForWaiting()) {
   }
-  while (this->Connecting < static_cast<int>(this->Waiting.size()) &&
-         static_cast<int>(this->Connections.size()) < this->MaxConnections)
-    this->openConnection();
 }
 
-std::shared_ptr<ChannelConnection>
-LeafChannel::takeIdleConnection(TimePoint Now) {
-  // The most recently used connection is the least likely to be closed by the
-  // leaf at this moment.
-  while (!this->IdleConnections.empty()) {
-    std::shared_ptr<ChannelConnection> Connection =
-        this->IdleConnections.back();
+bool LeafChannel::sendFirstWaiting(TimePoint Now) {
+  if (this->Waiting.empty())
+    return false;
+  this->closeExpired(Now);
+  // From here to the send no callback may run.
+  if (this->Waiting.empty() || this->IdleConnections.empty())
+    return false;
+  const std::shared_ptr<ChannelConnection> Connection =
+      std::move(this->IdleConnections.back());
+  this->IdleConnections.pop_back();
+  const ChannelCallPtr Call = std::move(this->Waiting.front());
+  this->Waiting.pop_front();
+  Connection->send(Call, Now);
+  return true;
+}
+
+void LeafChannel::closeExpired(TimePoint Now) {
+  while (!this->IdleConnections.empty() &&
+         !this->IdleConnections.back()->isUsable(Now)) {
+    const std::shared_ptr<ChannelConnection> Expired =
+        std::move(this->IdleConnections.back());
     this->IdleConnections.pop_back();
-    if (Connection->isUsable(Now))
-      return Connection;
-    Connection->close("idle timeout expired");
+    Expired->close("idle timeout expired");
   }
-  return nullptr;
+}
+
+bool LeafChannel::openForWaiting() {
+  if (this->Connecting >= static_cast<int>(this->Waiting.size()) ||
+      static_cast<int>(this->Connections.size()) >= this->MaxConnections)
+    return false;
+  this->openConnection();
+  return true;
 }
 
 void LeafChannel::openConnection() {
@@ -137,7 +152,6 @@
 
 bool LeafChannel::abandon(const ChannelCallPtr &Call) {
   Call->OnAnswer = nullptr;
-  Call->OnSent = nullptr;
   const auto Queued =
       std::find(this->Waiting.begin(), this->Waiting.end(), Call);
   if (Queued != this->Waiting.end()) {
--- a/citronlever/src/Gateway/LeafChannel.h
+++ b/citronlever/src/Gateway/LeafChannel.h
@@ -55,8 +55,6 @@
   LeafRequestPtr Request;
   /// Called once with the outcome, unless the call is abandoned first.
   std::function<void(ChannelAnswer)> OnAnswer;
-  /// Called when the request is written to a connection.
-  std::function<void(TimePoint)> OnSent;
   /// Called when the call ends at the leaf, even after it was abandoned. Set
   /// only while versions are compared.
   std::function<void(const ChannelAnswer &, Duration SinceSent, bool Abandoned)>
@@ -116,9 +114,18 @@
 private:
   friend class ChannelConnection;
 
+  /// Sends the waiting calls on idle connections, and opens connections for the
+  /// others.
   void sendWaiting();
+  /// \returns whether a call was sent.
+  bool sendFirstWaiting(TimePoint Now);
+  /// Closes the most recently used idle connections that may not be reused. The
+  /// most recently used one is the least likely to be closed by the leaf at
+  /// this moment, so it is taken first.
+  void closeExpired(TimePoint Now);
+  /// \returns whether a connection attempt was started.
+  bool openForWaiting();
   void openConnection();
-  std::shared_ptr<ChannelConnection> takeIdleConnection(TimePoint Now);
   /// Called by a connection when its state changes.
   void onConnectionReady(const std::shared_ptr<ChannelConnection> &Connection);
   void onConnectionClosed(const std::shared_ptr<ChannelConnection> &Connection);
@@ -139,6 +146,8 @@
   std::deque<ChannelCallPtr> Waiting;
   int MaxConnections = 1;
   int Connecting = 0;
+  /// Whether sendWaiting() is running.
+  bool Sending = false;
   bool Retired = false;
   bool Misdirected = false;
 };
--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -111,8 +111,6 @@
                       if (Failure)
                         Self->close("write failed: " + Failure.message());
                     });
-  if (Call->OnSent)
-    Call->OnSent(Now);
 }
 
 void ChannelConnection::resetParser() {
