Close a connection that ends with the answer to another request

Callers saw: nothing known; found by reading. A request whose leaf ended the connection with somebody else's answer, without a length, waited for its hedge or its deadline, and the leaf's connection limit stayed used.

Cause: onReadError() handed the answer on and returned as if that had closed the connection, but an answer with another request's id is skipped.

Evidence: the new test had no outcome within 20 s and one open connection.

Change: the connection is closed in any case; a call left on it is lost.

Measured: the test passes in some milliseconds; test_gateway passes.

--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -196,10 +196,9 @@
       this->AnswerParser->is_header_done()) {
     boost::system::error_code Cut;
     this->AnswerParser->put_eof(Cut);
-    if (!Cut && this->AnswerParser->is_done()) {
+    // An answer to another request leaves the current one open.
+    if (!Cut && this->AnswerParser->is_done())
       this->onAnswer();
-      return;
-    }
   }
   this->close("read failed: " + Failure.message());
 }
--- a/test/Gateway/LeafChannelReentryTest.cpp
+++ b/test/Gateway/LeafChannelReentryTest.cpp
@@ -258,3 +258,15 @@
     DOCTEST_CHECK(Traffic.endedWrongly() == 0);
   }
 }
+
+// Guards against calls that never end: a connection was neither read nor closed
+// after it had ended with an answer to another request.
+DOCTEST_TEST_CASE("a connection that ends with the answer to another request "
+                  "is closed, and its call is lost") {
+  LeafChannelFixture Test([](const std::string &, RawLeaf::Peer &To) {
+    To.write("HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Signature: s\r\n\r\nbody");
+    To.close();
+  });
+  DOCTEST_CHECK((Test.callOnce("mine").Outcome == ChannelOutcome::Lost));
+  DOCTEST_CHECK(Test.Channel->connections() == 0);
+}
