Move requests off a restarted leaf after the list of leaves is complete

Callers saw: nothing known; found by reading. Requests that waited for a connection to a leaf that restarted got 503 "leaf was restarted" at once, although another leaf of the service was free.

Cause: LeafPool::update() retired the old incarnation while it rebuilt the lists of leaves. The calls that waited there came back into the pool and chose from incomplete lists.

Change: update() collects the ended leaves and retires them last.

--- a/citronlever/src/Gateway/LeafPool.cpp
+++ b/citronlever/src/Gateway/LeafPool.cpp
@@ -55,6 +55,7 @@
     Budget.setSenders(SharedBy.Count, SharedBy.MemberSince);
   this->Services.clear();
   std::set<std::string> Kept;
+  std::vector<EndedLeaf> Ended;
   const std::set<std::string> Eligible =
       servicesWithEligibleLeaf(Registry, this->Rollouts);
   Registry.forEach([&](const LeafEntry &Entry) {
@@ -65,11 +66,14 @@
         Bounds.ClosedDomains.contains(Entry.Domain))
       return;
     Kept.insert(Entry.Id);
-    this->addReplica(Entry, Routes, Now);
+    this->addReplica(this->channelFor(Entry, Ended), Routes, Now);
   });
-  this->retireMissing(Kept);
+  this->removeMissing(Kept, Ended);
   if (Routes && Routes->version() != this->PrunedVersion)
     this->pruneStatistics(*Routes, Now);
+  // Last, because calls that wait at an ended leaf choose another one now.
+  for (const EndedLeaf &Leaf : Ended)
+    Leaf.Channel->retire(Leaf.Reason);
 }
 
 void LeafPool::pruneStatistics(const RouteTable &Routes, TimePoint Now) {
@@ -86,37 +90,33 @@
   });
 }
 
-void LeafPool::retireMissing(const std::set<std::string> &Kept) {
-  for (auto It = this->Channels.begin(); It != this->Channels.end();) {
-    if (Kept.contains(It->first)) {
-      ++It;
-      continue;
-    }
-    const LeafChannelPtr Removed = It->second;
-    It = this->Channels.erase(It);
-    Removed->retire("leaf is draining or removed");
-  }
+void LeafPool::removeMissing(const std::set<std::string> &Kept,
+                             std::vector<EndedLeaf> &Ended) {
+  std::erase_if(this->Channels, [&](const auto &Item) {
+    if (Kept.contains(Item.first))
+      return false;
+    Ended.push_back({Item.second, "leaf is draining or removed"});
+    return true;
+  });
 }
 
-LeafChannelPtr LeafPool::channelFor(const LeafEntry &Entry) {
+LeafChannelPtr LeafPool::channelFor(const LeafEntry &Entry,
+                                    std::vector<EndedLeaf> &Ended) {
   LeafChannelPtr &Known = this->Channels[Entry.Id];
   if (Known && Known->entry().isSameIncarnation(Entry)) {
     Known->entry() = Entry;
     return Known;
   }
-  const LeafChannelPtr Old = std::exchange(
-      Known,
-      std::make_shared<LeafChannel>(this->Context, Entry, this->Names,
-                                    this->Settings.Channel, this->Totals));
-  LeafChannelPtr Result = Known;
-  if (Old)
-    Old->retire("leaf was restarted");
-  return Result;
+  if (Known)
+    Ended.push_back({Known, "leaf was restarted"});
+  Known = std::make_shared<LeafChannel>(this->Context, Entry, this->Names,
+                                        this->Settings.Channel, this->Totals);
+  return Known;
 }
 
-void LeafPool::addReplica(const LeafEntry &Entry, const RouteTablePtr &Routes,
-                          TimePoint Now) {
-  const LeafChannelPtr Channel = this->channelFor(Entry);
+void LeafPool::addReplica(const LeafChannelPtr &Channel,
+                          const RouteTablePtr &Routes, TimePoint Now) {
+  const LeafEntry &Entry = Channel->entry();
   const ServiceSpec *Spec =
       Routes ? Routes->findService(Entry.Service) : nullptr;
   Channel->setMaxConnections(
--- a/citronlever/src/Gateway/LeafPool.h
+++ b/citronlever/src/Gateway/LeafPool.h
@@ -122,13 +122,23 @@
   double cost(LeafChannel &Channel, Duration TypicalLatency, TimePoint Now);
   LeafChannelPtr chooseAmong(const LeafCriteria &Criteria,
                              const ServiceRollout *Rollout, TimePoint Now);
-  LeafChannelPtr channelFor(const LeafEntry &Entry);
-  void addReplica(const LeafEntry &Entry, const RouteTablePtr &Routes,
+  /// A leaf that gets no further calls, and why.
+  struct EndedLeaf {
+    LeafChannelPtr Channel;
+    std::string_view Reason;
+  };
+
+  /// \param Ended receives the earlier incarnation if there is one.
+  LeafChannelPtr channelFor(const LeafEntry &Entry,
+                            std::vector<EndedLeaf> &Ended);
+  void addReplica(const LeafChannelPtr &Channel, const RouteTablePtr &Routes,
                   TimePoint Now);
   /// Drops the statistics of routes and services that the configuration no
   /// longer contains.
   void pruneStatistics(const RouteTable &Routes, TimePoint Now);
-  void retireMissing(const std::set<std::string> &Kept);
+  /// Removes the leaves that are not in \p Kept.
+  void removeMissing(const std::set<std::string> &Kept,
+                     std::vector<EndedLeaf> &Ended);
 
   boost::asio::io_context &Context;
   const HeaderNames &Names;
--- a/test/Gateway/GatewayFixture.h
+++ b/test/Gateway/GatewayFixture.h
@@ -57,13 +57,14 @@
     return *this->Leaves.back();
   }
 
-  void routes(RouteSpec Route) {
+  /// \param ConnectionCap connections that each leaf accepts.
+  void routes(RouteSpec Route, int ConnectionCap = 20) {
     Route.Name = "r";
     Route.Host = "h.example";
     Route.PathPrefix = "/p/";
     std::vector<ServiceSpec> Services;
     for (const char *Name : {"a", "b", "c"})
-      Services.push_back({Name, "/health", 20, 0});
+      Services.push_back({Name, "/health", ConnectionCap, 0});
     this->Routes.replaceIfNewer(std::make_shared<const RouteTable>(
         1, std::vector<RouteSpec>{Route}, Services, CallerLimits{}));
     this->Pool.update(this->Registry, this->Routes.get(), {}, {1},
