Wait before a failed accept of the peer listener is repeated

Callers saw: nothing known; found by reading. A process without free descriptors used a whole core for accepts that fail, as long as a member tried to connect, and if its listener was closed meanwhile it went on for good.

Cause: the handler of a failed accept called accept() at once for every error but an aborted one; on a closed listener each accept fails at once.

Evidence: the new test counted 605,705 handlers in 0.3 s (bound 100), and the event loop still had work after a stop.

Change: a failed accept is repeated after 50 ms, and not at all once the listener is closed. Listener and timer have a strand of their own, since a stop comes from other threads.

Measured: the test passes; test_wire passes.

--- a/citronlever/src/Wire/PeerHub.cpp
+++ b/citronlever/src/Wire/PeerHub.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
 
 #include <map>
 #include <mutex>
@@ -17,6 +19,13 @@
 using boost::system::error_code;
 using internal::TcpLink;
 
+namespace {
+
+/// Delay after a failed accept, for example when descriptors run out.
+constexpr Duration AcceptRetryDelay = Milliseconds(50);
+
+} // namespace
+
 class PeerHub::State : public std::enable_shared_from_this<PeerHub::State> {
 public:
   using LinkHandler = std::function<void(const PeerLinkPtr &)>;
@@ -24,7 +33,8 @@
   State(asio::io_context &Context, std::string Name, std::uint64_t Incarnation,
         PeerSettings Settings, std::shared_ptr<const Authenticator> Auth)
       : Common(std::make_shared<TcpLink::Shared>()), Context(Context),
-        Acceptor(Context) {
+        Acceptor(asio::make_strand(Context)),
+        AcceptRetry(Acceptor.get_executor()) {
     this->Common->Name = std::move(Name);
     this->Common->Incarnation = Incarnation;
     this->Common->Settings = Settings;
@@ -60,6 +70,7 @@
   };
 
   void accept();
+  void acceptLater();
   void dial(const Endpoint &Address, Dialer &Target);
   TcpLink::Callbacks incomingCallbacks();
   TcpLink::Callbacks outgoingCallbacks(const Endpoint &Address);
@@ -73,7 +84,9 @@
   bool addLink(const std::shared_ptr<TcpLink> &Link);
 
   asio::io_context &Context;
+  /// Runs, with its timer, on a strand of its own.
   tcp::acceptor Acceptor;
+  asio::steady_timer AcceptRetry;
   mutable std::mutex Mutex;
   bool Stopped = false;
   std::map<Endpoint, Dialer> Dialers;
@@ -97,19 +110,31 @@
 }
 
 void PeerHub::State::accept() {
-  this->Acceptor.async_accept([Self = this->shared_from_this()](
-                                  error_code Failure, tcp::socket Socket) {
-    if (Failure == asio::error::operation_aborted)
-      return;
-    if (!Failure) {
-      auto Link =
-          std::make_shared<TcpLink>(std::move(Socket), TcpLink::Side::Server,
-                                    Self->Common, Self->incomingCallbacks());
-      if (Self->addLink(Link))
-        Link->start();
-    }
-    Self->accept();
-  });
+  this->Acceptor.async_accept(
+      this->Context, [Self = this->shared_from_this()](error_code Failure,
+                                                       tcp::socket Socket) {
+        if (!Self->Acceptor.is_open())
+          return;
+        if (Failure) {
+          Self->acceptLater();
+          return;
+        }
+        auto Link =
+            std::make_shared<TcpLink>(std::move(Socket), TcpLink::Side::Server,
+                                      Self->Common, Self->incomingCallbacks());
+        if (Self->addLink(Link))
+          Link->start();
+        Self->accept();
+      });
+}
+
+void PeerHub::State::acceptLater() {
+  this->AcceptRetry.expires_after(AcceptRetryDelay);
+  this->AcceptRetry.async_wait(
+      [Self = this->shared_from_this()](error_code Cancelled) {
+        if (!Cancelled && Self->Acceptor.is_open())
+          Self->accept();
+      });
 }
 
 bool PeerHub::State::addLink(const std::shared_ptr<TcpLink> &Link) {
@@ -279,6 +304,7 @@
   asio::post(this->Acceptor.get_executor(), [Self = this->shared_from_this()] {
     error_code Ignored;
     Self->Acceptor.close(Ignored);
+    Self->AcceptRetry.cancel();
   });
   for (const auto &Link : Open)
     Link->close("stopping");
--- a/test/Wire/PeerHubTest.cpp
+++ b/test/Wire/PeerHubTest.cpp
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 
+#include <sys/resource.h>
+
 #include <condition_variable>
 #include <mutex>
 #include <thread>
@@ -64,6 +66,25 @@
   return {View.begin(), View.end()};
 }
 
+/// Leaves the process no descriptor for the duration of a test.
+class NoDescriptors {
+public:
+  NoDescriptors() {
+    ::getrlimit(RLIMIT_NOFILE, &this->Before);
+    const int Free = ::dup(0);
+    ::close(Free);
+    rlimit Used = this->Before;
+    Used.rlim_cur = static_cast<rlim_t>(Free);
+    ::setrlimit(RLIMIT_NOFILE, &Used);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &this->Before); }
+  NoDescriptors(const NoDescriptors &) = delete;
+  NoDescriptors &operator=(const NoDescriptors &) = delete;
+
+private:
+  rlimit Before{};
+};
+
 } // namespace
 
 DOCTEST_TEST_CASE("messages arrive complete and in order in both directions") {
@@ -171,3 +192,31 @@
   DOCTEST_CHECK(Client.send(Address, MessageType::BrokerCall, {}) ==
                 SendResult::NotConnected);
 }
+
+// Guards against a process that uses a whole core: a failed accept was repeated
+// at once, and for good after the listener was closed.
+DOCTEST_TEST_CASE("a hub without descriptors waits, accepts later, and stops") {
+  constexpr std::size_t MaxHandlers = 100;
+  asio::io_context Context;
+  PeerHub Server(Context, "server", 1, {}, makeAuth(Key));
+  const std::uint16_t Port = Server.listen(AnyPort);
+  asio::io_context ClientContext;
+  asio::ip::tcp::socket Client(ClientContext);
+  Client.connect({asio::ip::make_address("127.0.0.1"), Port});
+  {
+    const NoDescriptors Exhausted;
+    DOCTEST_CHECK(Context.run_for(Milliseconds(300)) < MaxHandlers);
+    DOCTEST_CHECK(Server.counters().Links == 0);
+  }
+  const TimePoint End = Clock::now() + WaitTimeout;
+  while (Server.counters().Links == 0 && Clock::now() < End)
+    Context.run_for(Milliseconds(10));
+  DOCTEST_CHECK(Server.counters().Links == 1);
+  asio::ip::tcp::socket Second(ClientContext);
+  Second.connect({asio::ip::make_address("127.0.0.1"), Port});
+  const NoDescriptors Exhausted;
+  Context.run_for(Milliseconds(10));
+  Server.stop();
+  Context.run_for(Milliseconds(500));
+  DOCTEST_CHECK(Context.stopped());
+}
