Never end a request within HttpClient::send()

Callers saw: nothing known; found by reading.

Cause: an address that can't be read ended the request within send(), against the class's own statement. A caller that holds a lock or repeats the call from its end is entered again.

Evidence: the new test saw the handler run within send().

Change: that end is posted to the event loop like every other.

Measured: the test passes; test_core passes.

--- a/citronlever/src/Core/HttpClient.cpp
+++ b/citronlever/src/Core/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "citronlever/src/Core/internal/SocketOptions.h"
 
 #include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
@@ -110,7 +111,11 @@
     beast::error_code Failure;
     const auto Host = asio::ip::make_address(this->Owner->Server.Host, Failure);
     if (Failure) {
-      this->finish(HttpOutcome::NotSent, Failure.message());
+      // Posted, because callers don't expect the end within send().
+      asio::post(this->Conn->Stream.get_executor(),
+                 [Self = this->shared_from_this(), Failure] {
+                   Self->finish(HttpOutcome::NotSent, Failure.message());
+                 });
       return;
     }
     this->Conn->Stream.expires_at(std::min(
--- a/test/Core/HttpTest.cpp
+++ b/test/Core/HttpTest.cpp
@@ -150,3 +150,20 @@
   HttpClient Client(Fixture.Context, {"127.0.0.1", Unused});
   DOCTEST_CHECK(Fixture.send(Client, {}).Outcome == HttpOutcome::NotSent);
 }
+
+// Guards against callers that repeat a call from its end, within send() and
+// with a stack that grows: an address that can't be read failed there.
+DOCTEST_TEST_CASE("a request to an invalid address never ends within send()") {
+  boost::asio::io_context Context;
+  HttpClient Client(Context, {"not an address", 1});
+  bool Sending = true;
+  int Ended = 0;
+  Client.send({}, Seconds(1), [&](const HttpResult &Result) {
+    DOCTEST_CHECK((Result.Outcome == HttpOutcome::NotSent));
+    DOCTEST_CHECK(!Sending);
+    ++Ended;
+  });
+  Sending = false;
+  Context.run();
+  DOCTEST_CHECK(Ended == 1);
+}
