Never end a request within LeafClient::send()

Callers saw: nothing known; found by reading. In the own layout, while all connections to a leaf are in use or a broker stops, each waiting call that was sent ended at once within send(), and its end sent the next one from there: a stack as deep as the queue is long.

Cause: the end without a connection was the only one that was not posted.

Change: that end is posted too; the class now promises it.

--- a/citronlever/src/Upstream/LeafClient.cpp
+++ b/citronlever/src/Upstream/LeafClient.cpp
@@ -4,6 +4,7 @@
 #include "citronlever/src/Upstream/ConnectPacer.h"
 #include "citronlever/src/Upstream/internal/LeafConnection.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
@@ -13,6 +14,7 @@
 
 namespace citronlever {
 
+namespace asio = boost::asio;
 using internal::LeafConnection;
 
 namespace {
@@ -172,11 +174,14 @@
       Full = false;
     }
     if (Full || this->Stopped) {
-      Lock.unlock();
-      LeafReply Refused;
-      Refused.Outcome = LeafOutcome::NoConnection;
-      Refused.RunVerdict = Verdict::NotRun;
-      return Done(std::move(Refused));
+      // Posted, because its end may send the next request.
+      asio::post(this->Context, [Done = std::move(Done)] {
+        LeafReply Refused;
+        Refused.Outcome = LeafOutcome::NoConnection;
+        Refused.RunVerdict = Verdict::NotRun;
+        Done(std::move(Refused));
+      });
+      return;
     }
     Connection = this->makeConnection(LeafPool, Call.Address, Control);
     (Control ? LeafPool->OpenControl : LeafPool->Open).insert(Connection);
--- a/citronlever/src/Upstream/LeafClient.h
+++ b/citronlever/src/Upstream/LeafClient.h
@@ -61,8 +61,7 @@
 /// HTTP/1.1 client with a pool of keep-alive connections for each leaf. A reply
 /// is accepted only if it echoes the id, snapshot and shard of its request; any
 /// other reply closes the connection. Thread-safe. The handler of each call
-/// runs exactly once: on a thread of the io_context, or within send() if no
-/// connection is available.
+/// runs exactly once, on a thread of the io_context and never within send().
 class LeafClient {
 public:
   using Handler = std::function<void(LeafReply)>;
--- a/test/Upstream/LeafClientTest.cpp
+++ b/test/Upstream/LeafClientTest.cpp
@@ -169,6 +169,35 @@
 }
 
 // Guards against a leaf whose bytes without end fill the memory of its caller.
+// Guards against a stack that grows with the queue: a refused request ended
+// within send(), and its end sent the next one from there.
+DOCTEST_TEST_CASE("a request without a connection never ends within send()") {
+  boost::asio::io_context Context;
+  LeafClient Client(Context, LeafClientSettings{});
+  Client.stop();
+  constexpr int Requests = 100;
+  int Ended = 0;
+  int Nested = 0;
+  bool Sending = false;
+  std::function<void()> SendNext = [&] {
+    LeafCall Call;
+    Call.Address = {"127.0.0.1", 1};
+    Call.Id = {1, static_cast<std::uint64_t>(Ended)};
+    const bool WasSending = std::exchange(Sending, true);
+    Client.send(Call, [&](const LeafReply &Reply) {
+      DOCTEST_CHECK((Reply.Outcome == LeafOutcome::NoConnection));
+      Nested += Sending ? 1 : 0;
+      if (++Ended < Requests)
+        SendNext();
+    });
+    Sending = WasSending;
+  };
+  SendNext();
+  Context.run();
+  DOCTEST_CHECK(Ended == Requests);
+  DOCTEST_CHECK(Nested == 0);
+}
+
 DOCTEST_TEST_CASE("a head or chunk that never ends is given up") {
   constexpr std::size_t EndlessBytes = 64 << 20;
   const std::string Chunked =
