Tests of callbacks that come back into the gateway; the slot of a gone caller

A full queue of requests that fail as they are admitted, each admitting the next from its end, is answered whole.

Change: a request admitted after its caller had left would have kept its slot, since it held none yet. Found by reading; no path leads there today, because a caller that leaves takes its request out of the queue.

--- a/citronlever/src/Gateway/AdmissionQueue.cpp
+++ b/citronlever/src/Gateway/AdmissionQueue.cpp
@@ -109,9 +109,9 @@
 
   void onNotified(bool Admitted) {
     this->stopWaiting();
+    this->HoldsSlot = Admitted;
     if (!this->Answer) {
-      if (Admitted)
-        this->release();
+      this->release();
       return;
     }
     if (Admitted)
--- a/test/Gateway/GatewayFixture.h
+++ b/test/Gateway/GatewayFixture.h
@@ -198,6 +198,12 @@
 
   const std::string &received() const { return this->Received; }
 
+  /// Leaves; the object is kept until the event loop has run.
+  void close() {
+    boost::system::error_code Ignored;
+    this->Socket.close(Ignored);
+  }
+
 private:
   void read() {
     this->Socket.async_read_some(boost::asio::buffer(this->Chunk),
--- a/test/Gateway/GatewayReentryTest.cpp
+++ b/test/Gateway/GatewayReentryTest.cpp
@@ -44,3 +44,39 @@
     DOCTEST_CHECK(body(Waiting.received()) == "good");
   }
 }
+
+// Guards against a stack that grows with the queue, and against requests that
+// are forgotten in it: each one that is admitted and fails at once admits the
+// next from its end.
+DOCTEST_TEST_CASE("a full queue of requests that fail as they are admitted is "
+                  "answered") {
+  Fixture Test;
+  std::vector<std::pair<std::shared_ptr<RawLeaf::Peer>, std::string>> Held;
+  Test.leaf("a", [&](const std::string &Head, RawLeaf::Peer &To) {
+    Held.emplace_back(To.shared_from_this(), Head);
+  });
+  RouteSpec Route = forward(RequestKind::NonIdempotent);
+  Route.LatencyObjective = Seconds(60);
+  Route.Timeout = Seconds(60);
+  Test.routes(Route, 400);
+  constexpr std::size_t Running = AdmissionController::MaxLimit;
+  constexpr std::size_t Waiting = AdmissionController::MaxWaiting;
+  std::vector<std::unique_ptr<KeptConnection>> Callers;
+  for (std::size_t I = 0; I < Running + Waiting; ++I)
+    Callers.push_back(std::make_unique<KeptConnection>(
+        Test, requestWithId("q" + std::to_string(I))));
+  DOCTEST_REQUIRE(Test.runUntil([&] {
+    return Held.size() == Running &&
+           Test.Callers.inFlight() == Running + Waiting;
+  }));
+  Test.Registry.remove("leaf-1", Clock::now());
+  Test.Pool.update(Test.Registry, Test.Routes.get(), {}, {1}, Clock::now());
+  Held.front().first->write(RawLeaf::answer(Held.front().second, "good"));
+  const auto Answered = [&] {
+    return std::ranges::count_if(Callers, [](const auto &Caller) {
+      return Fixture::isComplete(Caller->received());
+    });
+  };
+  DOCTEST_CHECK(Test.runUntil([&] { return Answered() == Waiting + 1; }));
+  DOCTEST_CHECK(Test.Context.Counters.NotRun == Waiting);
+}
--- a/test/Gateway/LeafChannelReentryTest.cpp
+++ b/test/Gateway/LeafChannelReentryTest.cpp
@@ -141,7 +141,7 @@
   void step() {
     switch (this->draw(8)) {
     case 0:
-      for (unsigned I = 0; I < 1 + this->draw(6); ++I)
+      for (unsigned Left = 1 + this->draw(6); Left > 0; --Left)
         this->startCall();
       return;
     case 1:
