Soak of traffic that comes and goes, over real noded processes

A kind of noded_soak.py, "waves": waves of callers and pauses around the time after which leaves close idle connections; the seed draws that time, how often answers and sheds state it, slots, queues, connection limits, leaves that leave, crash and return, callers that leave in the middle of a request, and new configurations with SIGHUP. At the end all processes are stopped under the callers. No process may end by itself or with another code than 0, no caller that stays may go without an answer in time, and the promises of the ledger hold. CITRON_BUILD runs another build, for example one with sanitizers, whose reports it prints.

--- a/test/integration/edge_fleet.py
+++ b/test/integration/edge_fleet.py
@@ -26,9 +26,12 @@
 REQUEST_ID = "Citronlever-Request-Id"
 TIME_LEFT = "Citronlever-Deadline-Ms"
 SEAL = "Citronlever-Response-Seal"
+NOT_RUN = "Citronlever-Not-Executed"
 EXPECTED_LEAF = "Citronlever-Expect-Instance"
 PARTS = "Citronlever-Part-Stamps"
 MISSING = "Citronlever-Missing-Parts"
+HEARTBEAT_S = 1.2
+DRAIN_S = 3.0
 SHARDS = 8
 MIN_COVERAGE = 0.85
 SHARD_WORK_S = 0.011
@@ -203,30 +206,64 @@
         self.store, self.service, self.name = store, service, name
         self.work, self.slots, self.port = work, slots, free_port()
         self.runs = {}
-        self.running = self.sequence = 0
+        self.running = self.pending = self.sequence = 0
         self.room = asyncio.Semaphore(slots)
+        self.state = "ready"
+        self.writers = set()
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, self.port)
-        self.born = int(time.time() * 1000)
+        self.born, self.sequence, self.state = int(time.time() * 1000), 0, "ready"
         self.beating = asyncio.create_task(self.beat())
 
+    def register(self):
+        self.sequence += 1
+        self.store.put(f"servers/{self.name}", json.dumps({
+            "service": self.service, "address": f"{HOST}:{self.port}", "zone": "z1",
+            "version": "v1", "slots": self.slots, "state": self.state, "warmupLeftMs": 0,
+            "sequence": self.sequence, "born": self.born}).encode())
+
     async def beat(self):
         while True:
-            self.sequence += 1
-            self.store.put(f"servers/{self.name}", json.dumps({
-                "service": self.service, "address": f"{HOST}:{self.port}", "zone": "z1",
-                "version": "v1", "slots": self.slots, "state": "ready", "warmupLeftMs": 0,
-                "sequence": self.sequence, "born": self.born}).encode())
-            await asyncio.sleep(1.2)
+            self.register()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def leave(self):
+        """Announces its leaving, serves on for DRAIN_S, then ends."""
+        self.state = "draining"
+        self.register()
+        await asyncio.sleep(DRAIN_S)
+        self.crash()
+        self.store.remove(f"servers/{self.name}")
+
+    def crash(self):
+        """Ends at once and says nothing."""
+        self.beating.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def next_call(self, reader):
+        """Returns the next message of a connection, or None at its end."""
+        return await read_message(reader)
+
+    def is_full(self):
+        """Whether the leaf sheds a request that comes now."""
+        return False
+
+    def extra_headers(self, shed):
+        """Returns further headers of an answer or of a shed."""
+        return {}
 
     async def serve(self, reader, writer):
+        self.writers.add(writer)
         try:
-            while (call := await read_message(reader)) is not None:
+            while (call := await self.next_call(reader)) is not None:
                 await self.handle(call[1], writer)
         except ConnectionError:
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def handle(self, headers, writer):
@@ -234,6 +271,11 @@
         if headers.get(EXPECTED_LEAF.lower(), self.name) != self.name:
             writer.write(response(421, {"Citronlever-Instance-Id": self.name}))
             return
+        if self.is_full():
+            writer.write(response(503, {REQUEST_ID: request_id, NOT_RUN: "1",
+                                        **self.extra_headers(shed=True)}))
+            return
+        self.pending += 1
         async with self.room:
             self.running += 1
             run = Run(self.name, time.monotonic())
@@ -241,12 +283,13 @@
             await asyncio.sleep(self.work())
             run.ended = time.monotonic()
             self.running -= 1
+        self.pending -= 1
         is_shard = self.service.startswith("shard-")
         seal = f"{self.service}.{request_id}" if is_shard else f"seal.{request_id}"
         body = self.service.encode().ljust(16) if is_shard else b"done " + request_id.encode()
         writer.write(response(200, {REQUEST_ID: request_id, SEAL: seal,
-                                    "Citronlever-Server-Load": f"{self.running},0,{self.slots}"},
-                              body))
+                                    "Citronlever-Server-Load": f"{self.running},0,{self.slots}",
+                                    **self.extra_headers(shed=False)}, body))
         await writer.drain()
 
 
@@ -497,7 +540,8 @@
             await asyncio.sleep(self.rng.expovariate(1 / self.gap_s))
 
 
-def configuration(budget_ms, objective_ms):
+def configuration(budget_ms, objective_ms, connections=110, version=1):
+    """\p connections: how many a leaf accepts."""
     routes = [{"name": f"r-{name}", "host": HOST_NAME, "prefix": f"/{name}/", "routeType": kind,
                "timeoutMs": budget_ms, "targetLatencyMs": objective_ms, "priority": 1,
                "service": "cards", "attempts": 2}
@@ -507,12 +551,12 @@
                    "routeType": "idempotent", "timeoutMs": 1500, "targetLatencyMs": 100,
                    "priority": 0, "fanout": shards, "topK": SHARDS,
                    "minCoverage": MIN_COVERAGE, "attempts": 2})
-    services = [{"name": name, "healthPath": "/health", "maxConnections": 110,
+    services = [{"name": name, "healthPath": "/health", "maxConnections": connections,
                  "protocol": "h1", "tls": False, "warmupS": 3.0, "warmupPerS": 0.0}
                 for name in ["cards", *shards]]
     limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
               "idleTimeoutMs": 15000}
-    return json.dumps({"version": 1, "routes": routes, "services": services,
+    return json.dumps({"version": version, "routes": routes, "services": services,
                        "limits": limits}).encode()
 
 
--- a/test/integration/noded_soak.py
+++ b/test/integration/noded_soak.py
@@ -1,11 +1,16 @@
-"""Stops noded processes in series that overlap, under callers that keep addresses
-and connections, and checks that nothing is lost, doubled or falsely refused.
+"""Runs noded processes under random load and trouble, and checks that nothing is
+lost, doubled or falsely refused.
 
-Usage: noded_soak.py [--seed 1] [--seeds 1] [--seconds 25] [--vms N] [--callers N]
+Usage: noded_soak.py [--kind stops|waves] [--seed 1] [--seeds 1] [--seconds 25]
+                     [--vms N] [--callers N]
 
-The seed chooses the number of processes and callers, the speed of the leaves, and
-which processes are stopped, killed or told to reload and when. Prints each seed and
-exits with 1 if a promise was broken.
+stops: planned stops in series that overlap, under callers that keep addresses and
+connections. The seed chooses the number of processes and callers, the speed of the
+leaves, and which processes are stopped, killed or told to reload and when.
+waves: traffic that comes and goes (wave_traffic.py).
+
+CITRON_BUILD names the build folder, for example one with sanitizers. Prints each
+seed and exits with 1 if a promise was broken.
 """
 import argparse
 import asyncio
@@ -18,6 +23,7 @@
 
 import citron
 import edge_fleet as fleet
+import wave_traffic
 
 BUDGET_S, OBJECTIVE_S = 6.0, 0.4
 LEAVES = 5
@@ -25,7 +31,7 @@
 SETTLE_S = 3
 
 
-class Soak:
+class StopSoak:
     def __init__(self, seed, options):
         self.rng = random.Random(seed)
         self.vms = options.vms or self.rng.choice((2, 3, 8))
@@ -95,8 +101,13 @@
         return not broken and set(self.exit_codes) <= {0} and statuses[200] > 0
 
 
+KINDS = {"stops": StopSoak, "waves": wave_traffic.Soak}
+
+
 def main():
-    parser = argparse.ArgumentParser(description=__doc__)
+    parser = argparse.ArgumentParser(description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--kind", choices=sorted(KINDS), default="stops")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=25)
@@ -105,7 +116,7 @@
     options = parser.parse_args()
     failed = []
     for seed in range(options.seed, options.seed + options.seeds):
-        soak = Soak(seed, options)
+        soak = KINDS[options.kind](seed, options)
         with tempfile.TemporaryDirectory() as folder:
             ledger = asyncio.run(soak.run(folder))
         if not soak.report(seed, ledger):
