Reuse a connection only within the idle time that its leaf has stated

A request could go out on a connection which the leaf had closed as idle; it was lost, and one that may not be repeated was answered as one that may have run.

Cause: how long a connection may be idle came from its last answer alone. After an answer or a shed that states no time it was 30 s, and without limit for a connection that was never used.

Evidence: the new test, with a stated time of 1 s, found the connection in use again after 0.8 s in all three forms.

Change: the channel keeps the last stated time for all connections of the leaf. A stray answer is a flag of the connection instead of a limit in the past, which also closed connections after calls that outlasted the limit.

Measured: test_gateway passes.

--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -11,7 +11,7 @@
                          const HeaderNames &Names, LeafChannelSettings Settings,
                          LeafChannelCounters &Totals)
     : Context(Context), Entry(std::move(Entry)), Names(Names),
-      Settings(Settings), Totals(Totals) {
+      Settings(Settings), Totals(Totals), MaxIdle(Settings.MaxIdle) {
   this->Stats.setInitialSlots(this->Entry.Slots);
 }
 
@@ -91,7 +91,7 @@
     const std::shared_ptr<ChannelConnection> &Connection) {
   if (Connection->isConnecting()) {
     --this->Connecting;
-    Connection->markConnected();
+    Connection->markConnected(Clock::now() + this->MaxIdle);
   }
   if (this->Retired) {
     Connection->close("leaf is draining or removed");
--- a/citronlever/src/Gateway/LeafChannel.h
+++ b/citronlever/src/Gateway/LeafChannel.h
@@ -25,8 +25,8 @@
   /// How long to wait for the answer to an abandoned call before its connection
   /// is closed. If the answer arrives, the connection can be reused.
   Duration AbandonGrace = Milliseconds(150);
-  /// Maximum age at which an idle connection is reused if the leaf announces no
-  /// idle timeout. Otherwise the safe part of that timeout applies.
+  /// Maximum age at which an idle connection is reused while the leaf has
+  /// announced no idle timeout. Then the safe part of the last one applies.
   Duration MaxIdle = Seconds(30);
   /// Maximum size of an answer's body.
   std::size_t MaxAnswerBytes = 8 << 20;
@@ -144,6 +144,8 @@
   std::vector<std::shared_ptr<ChannelConnection>> Connections;
   std::vector<std::shared_ptr<ChannelConnection>> IdleConnections;
   std::deque<ChannelCallPtr> Waiting;
+  /// How long an idle connection may be reused.
+  Duration MaxIdle;
   int MaxConnections = 1;
   int Connecting = 0;
   /// Whether sendWaiting() is running.
--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -219,21 +219,22 @@
     // This is a second answer to an earlier request. The answer to the current
     // one is still to come.
     ++Channel->Totals.StrayBytes;
-    this->UsableUntil = {};
+    this->HasStrayAnswers = true;
     this->skipAnswer();
     return;
   }
   const bool KeepAlive = this->AnswerParser->keep_alive() && !this->Writing &&
-                         this->Buffer.size() == 0 &&
-                         this->isUsable(Clock::now());
-  const std::string KeepAliveField(Message["Keep-Alive"]);
+                         this->Buffer.size() == 0 && !this->HasStrayAnswers;
+  if (const int Stated = keepAliveSeconds(Message["Keep-Alive"]); Stated > 0)
+    Channel->MaxIdle = std::chrono::duration_cast<Duration>(Seconds(Stated) *
+                                                            IdleSafetyFactor);
   ChannelAnswer Result = this->takeAnswer();
   const ChannelCallPtr Call = std::move(this->CurrentCall);
   this->CurrentCall = nullptr;
   this->releaseUnfinished();
   this->Timer.cancel();
   if (KeepAlive)
-    this->keepAlive(KeepAliveField);
+    this->keepAlive();
   else
     this->close("connection is not persistent");
   Channel->onCallEnded(Call, std::move(Result));
@@ -283,13 +284,9 @@
   return Result;
 }
 
-void ChannelConnection::keepAlive(std::string_view KeepAliveField) {
+void ChannelConnection::keepAlive() {
   const auto Channel = this->Owner.lock();
-  const TimePoint Now = Clock::now();
-  this->UsableUntil = Now + Channel->Settings.MaxIdle;
-  if (const int Stated = keepAliveSeconds(KeepAliveField); Stated > 0)
-    this->UsableUntil = Now + std::chrono::duration_cast<Duration>(
-                                  Seconds(Stated) * IdleSafetyFactor);
+  this->UsableUntil = Clock::now() + Channel->MaxIdle;
   Channel->onConnectionReady(this->shared_from_this());
 }
 
--- a/citronlever/src/Gateway/internal/ChannelConnection.h
+++ b/citronlever/src/Gateway/internal/ChannelConnection.h
@@ -31,8 +31,12 @@
   const ChannelCallPtr &call() const { return this->CurrentCall; }
   /// \returns whether the connection has never been ready.
   bool isConnecting() const { return this->Connecting; }
-  void markConnected() { this->Connecting = false; }
-  /// \returns whether the connection can be reused at \p Now.
+  /// \param IdleUntil until when the connection can be used if it stays idle.
+  void markConnected(TimePoint IdleUntil) {
+    this->Connecting = false;
+    this->UsableUntil = IdleUntil;
+  }
+  /// \returns whether the idle connection can be used at \p Now.
   bool isUsable(TimePoint Now) const { return Now < this->UsableUntil; }
 
 private:
@@ -56,7 +60,7 @@
   ChannelAnswer takeAnswer();
   void resetParser();
   /// Returns the connection to the pool after a call.
-  void keepAlive(std::string_view KeepAliveField);
+  void keepAlive();
   void closeSocket();
 
   boost::asio::ip::tcp::socket Socket;
@@ -66,9 +70,11 @@
   std::optional<Parser> AnswerParser;
   ChannelCallPtr CurrentCall;
   std::string Outgoing;
-  TimePoint UsableUntil = TimePoint::max();
+  TimePoint UsableUntil{};
   std::size_t UnfinishedBytes = 0;
   int SkippedAnswers = 0;
+  /// An answer to another request was received, so that more may follow.
+  bool HasStrayAnswers = false;
   bool Writing = false;
   bool Closed = false;
   bool Connecting = true;
--- a/test/Gateway/LeafChannelTest.cpp
+++ b/test/Gateway/LeafChannelTest.cpp
@@ -298,3 +298,39 @@
                 "Accept: b\r\nContent-Length: 5\r\nX-Leaf: i-1\r\n"
                 "X-Deadline: 500\r\n\r\n12345");
 }
+
+// Guards against requests that are sent on connections which the leaf has
+// closed: an answer or a shed that stated no idle time, and a connection that
+// was never used, counted as usable for longer than the leaf had stated.
+DOCTEST_TEST_CASE("a connection is reused only within the idle time that its "
+                  "leaf has stated") {
+  enum class Last { Answer, Shed, Never };
+  for (const Last Used : {Last::Answer, Last::Shed, Last::Never}) {
+    DOCTEST_INFO("last used for " << static_cast<int>(Used));
+    std::string Bytes;
+    Fixture Test([&](const std::string &Head, RawLeaf::Peer &To) {
+      To.write(Bytes.empty() ? RawLeaf::answer(Head, "body") : Bytes);
+    });
+    Test.Channel->setMaxConnections(1);
+    Bytes = "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 0\r\n"
+            "Keep-Alive: timeout=1\r\n";
+    Bytes += Used == Last::Never ? "Connection: close\r\n\r\n" : "\r\n";
+    DOCTEST_CHECK((Test.callOnce("a").Outcome == ChannelOutcome::Answered));
+    Bytes.clear();
+    if (Used == Last::Shed)
+      Bytes = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+    if (Used == Last::Never) {
+      std::vector<ChannelAnswer> Answers;
+      Test.Channel->abandon(Test.call("b", Answers));
+      DOCTEST_REQUIRE(
+          Test.runUntil([&] { return Test.Channel->hasIdleConnection(); }));
+    } else {
+      Test.callOnce("b");
+    }
+    DOCTEST_REQUIRE(Test.Channel->hasIdleConnection());
+    const int Accepted = Test.Leaf.Accepted;
+    Test.Io.run_for(Milliseconds(800));
+    DOCTEST_CHECK((Test.callOnce("c").Outcome != ChannelOutcome::Lost));
+    DOCTEST_CHECK(Test.Leaf.Accepted == Accepted + 1);
+  }
+}
