Keep the last change of each key alone for relays, bounded in bytes

Cause: ChangeRelay kept 4,096 changes with their values, superseded ones too. Answers could exceed what the asking member accepts (2 MB).

Change: one change a key, at most 1.5 MB of keys and values; members that need what was dropped read the store, and waiting ones are told at once. Answers may end in a new request.

--- a/citronlever/src/Registry/ChangeRelay.cpp
+++ b/citronlever/src/Registry/ChangeRelay.cpp
@@ -5,13 +5,31 @@
 
 namespace citronlever {
 
+namespace {
+
+std::size_t sizeOf(const StoreItem &Item) {
+  return Item.Key.size() + Item.Value.size();
+}
+
+} // namespace
+
 void ChangeRelay::record(const StoreItem &Item) {
-  this->RecentChanges.push_back(Item);
-  if (this->RecentChanges.size() <= MaxRecentChanges)
-    return;
-  this->DroppedUpTo =
-      std::max(this->DroppedUpTo, this->RecentChanges.front().Revision);
-  this->RecentChanges.pop_front();
+  if (const auto Earlier = this->LastOfKey.find(Item.Key);
+      Earlier != this->LastOfKey.end())
+    this->drop(Earlier->second);
+  const auto Added = this->Kept.emplace(Item.Revision, Item);
+  this->LastOfKey.emplace(Added->second.Key, Added);
+  this->KeptBytes += sizeOf(Item);
+  while (this->KeptBytes > MaxKeptBytes || this->Kept.size() > MaxKeptChanges) {
+    this->DroppedUpTo = std::max(this->DroppedUpTo, this->Kept.begin()->first);
+    this->drop(this->Kept.begin());
+  }
+}
+
+void ChangeRelay::drop(Changes::iterator Change) {
+  this->KeptBytes -= sizeOf(Change->second);
+  this->LastOfKey.erase(Change->second.Key);
+  this->Kept.erase(Change);
 }
 
 void ChangeRelay::advance(std::uint64_t NewAsOf, TimePoint Now) {
@@ -19,10 +37,10 @@
     this->DroppedUpTo = std::max(this->DroppedUpTo, NewAsOf);
   this->Available = true;
   this->AsOf = std::max(this->AsOf, NewAsOf);
-  std::erase_if(this->PendingRequests, [&](const PendingRequest &Request) {
-    return this->answer(Request, false);
-  });
-  this->expire(Now);
+  // An answer may end in a new request.
+  for (PendingRequest &Request : std::exchange(this->PendingRequests, {}))
+    if (!this->answer(Request, Request.Deadline <= Now))
+      this->PendingRequests.push_back(std::move(Request));
 }
 
 void ChangeRelay::onStoreUnavailable() {
@@ -36,17 +54,19 @@
   PendingRequest Request{Revision, Now + Wait, std::move(OnAnswer)};
   if (!this->Available)
     Request.OnAnswer(StoreStatus::Refused, {});
-  else if (Revision < this->DroppedUpTo)
-    Request.OnAnswer(StoreStatus::HistoryGone, {});
   else if (!this->answer(Request, false))
     this->PendingRequests.push_back(std::move(Request));
 }
 
 bool ChangeRelay::answer(const PendingRequest &Request, bool AllowEmpty) const {
+  if (Request.Revision < this->DroppedUpTo) {
+    Request.OnAnswer(StoreStatus::HistoryGone, {});
+    return true;
+  }
   RelayedChanges Result;
-  for (const StoreItem &Item : this->RecentChanges)
-    if (Item.Revision > Request.Revision)
-      Result.Items.push_back(Item);
+  for (auto It = this->Kept.upper_bound(Request.Revision);
+       It != this->Kept.end(); ++It)
+    Result.Items.push_back(It->second);
   if (Result.Items.empty() && !AllowEmpty)
     return false;
   Result.AsOf = std::max(this->AsOf, Request.Revision);
@@ -55,9 +75,9 @@
 }
 
 void ChangeRelay::expire(TimePoint Now) {
-  std::erase_if(this->PendingRequests, [&](const PendingRequest &Request) {
-    return Request.Deadline <= Now && this->answer(Request, true);
-  });
+  for (PendingRequest &Request : std::exchange(this->PendingRequests, {}))
+    if (Request.Deadline > Now || !this->answer(Request, true))
+      this->PendingRequests.push_back(std::move(Request));
 }
 
 } // namespace citronlever
--- a/citronlever/src/Registry/ChangeRelay.h
+++ b/citronlever/src/Registry/ChangeRelay.h
@@ -2,10 +2,12 @@
 
 #include "citronlever/src/Registry/KeyValueStore.h"
 
+#include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <functional>
+#include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace citronlever {
@@ -30,8 +32,12 @@
   /// kept, or Refused while this member itself cannot reach the store.
   using Callback = std::function<void(StoreStatus, RelayedChanges)>;
 
-  /// Adds a change to be relayed. Changes that are only heartbeats should not
-  /// be recorded.
+  /// Bound of keptBytes(). An answer with all of them stays below what an
+  /// HttpClient accepts.
+  static constexpr std::size_t MaxKeptBytes = 3 << 19;
+
+  /// Adds a change to be relayed; it replaces an earlier one of its key.
+  /// Changes that are only heartbeats should not be recorded.
   void record(const StoreItem &Item);
 
   /// Marks the recorded changes as complete up to store revision \p AsOf and
@@ -49,6 +55,9 @@
   /// Answers pending requests whose wait has ended.
   void expire(TimePoint Now);
 
+  /// \returns the size of the keys and values that are kept.
+  std::size_t keptBytes() const { return this->KeptBytes; }
+
 private:
   struct PendingRequest {
     std::uint64_t Revision;
@@ -56,13 +65,21 @@
     Callback OnAnswer;
   };
 
+  /// Changes by revision; one transaction can make several.
+  using Changes = std::multimap<std::uint64_t, StoreItem>;
+
   /// \returns whether \p Request was answered; without changes it is only
   /// answered if \p AllowEmpty.
   bool answer(const PendingRequest &Request, bool AllowEmpty) const;
+  void drop(Changes::iterator Change);
 
-  static constexpr std::size_t MaxRecentChanges = 4096;
+  static constexpr std::size_t MaxKeptChanges = 4096;
 
-  std::deque<StoreItem> RecentChanges;
+  /// The last change of each key.
+  Changes Kept;
+  /// Refers to the keys of Kept.
+  std::map<std::string_view, Changes::iterator> LastOfKey;
+  std::size_t KeptBytes = 0;
   std::vector<PendingRequest> PendingRequests;
   /// Changes up to this revision are no longer kept.
   std::uint64_t DroppedUpTo = 0;
