Take a cold leaf whose cold time moves as changed

Cause: LeafRegistry::put() took an entry that stayed cold as unchanged, so the limiter kept the first end of the cold time and relays didn't pass it on.

Change: the registry keeps the end; one that moves by more than 100 ms is a change.

--- a/citronlever/src/Registry/LeafRegistry.cpp
+++ b/citronlever/src/Registry/LeafRegistry.cpp
@@ -4,18 +4,35 @@
 
 namespace citronlever {
 
-bool LeafRegistry::put(LeafEntry Entry, TimePoint /*Now*/) {
+namespace {
+
+/// By how much the end of a cold time that heartbeats state may differ, since
+/// they are read with a delay.
+constexpr Duration ColdEndTolerance = Milliseconds(100);
+
+} // namespace
+
+bool LeafRegistry::put(LeafEntry Entry, TimePoint Now) {
   Record &Known = this->Leaves[Entry.Id];
   const LeafEntry &Old = Known.Entry;
   // Members that were sent the removal must be sent the return as well, even if
   // the removal has not taken effect here.
   const bool WasLeaving = Known.RemoveAt != TimePoint::max();
+  const TimePoint ColdUntil = Now + Entry.ColdTimeLeft;
+  const Duration ColdEndMoved = ColdUntil > Known.ColdUntil
+                                    ? ColdUntil - Known.ColdUntil
+                                    : Known.ColdUntil - ColdUntil;
+  const bool ColdTimeChanged =
+      Old.isCold() != Entry.isCold() ||
+      (Entry.isCold() && ColdEndMoved > ColdEndTolerance);
   const bool Changed =
       Old.Id.empty() || WasLeaving || !Old.isSameIncarnation(Entry) ||
       Old.Draining != Entry.Draining || Old.Slots != Entry.Slots ||
       Old.Version != Entry.Version || Old.Domain != Entry.Domain ||
-      Old.isCold() != Entry.isCold();
+      ColdTimeChanged;
   Known.Entry = std::move(Entry);
+  if (Changed)
+    Known.ColdUntil = ColdUntil;
   Known.RemoveAt = TimePoint::max();
   if (Changed)
     ++this->Generation;
--- a/citronlever/src/Registry/LeafRegistry.h
+++ b/citronlever/src/Registry/LeafRegistry.h
@@ -46,8 +46,8 @@
   /// \returns the entry of \p Id, or null.
   const LeafEntry *find(std::string_view Id) const;
 
-  /// \returns a counter of changes visible through forEach(), except for
-  /// changes of ColdTimeLeft alone.
+  /// \returns a counter of changes visible through forEach(), except that
+  /// ColdTimeLeft shrinks as time passes.
   std::uint64_t generation() const { return this->Generation; }
 
   std::size_t size() const { return this->Leaves.size(); }
@@ -57,6 +57,8 @@
     LeafEntry Entry;
     /// When the pending removal is due; max() if there is none.
     TimePoint RemoveAt = TimePoint::max();
+    /// End of the cold time as of the last change.
+    TimePoint ColdUntil{};
   };
 
   std::map<std::string, Record, std::less<>> Leaves;
