One ending for forwarded and scattered requests

The endings of ForwardRequest and ScatterRequest stood twice: the answer that is sent once, the caller that has left, the timer, the retry delay. ServedRequest holds them; what differs is which calls are abandoned. Behaviour is the same, but a scattered request that has ended ignores a second end as a forwarded one does.

Measured: test_gateway passes.

--- a/citronlever/src/Gateway/ForwardRequest.cpp
+++ b/citronlever/src/Gateway/ForwardRequest.cpp
@@ -1,8 +1,5 @@
-#include "citronlever/src/Gateway/ErrorResponse.h"
 #include "citronlever/src/Gateway/ReplicaCall.h"
-#include "citronlever/src/Gateway/RoutedRequest.h"
-#include "citronlever/src/Gateway/internal/EarliestTimer.h"
-#include "citronlever/src/Gateway/internal/RequestDeadlines.h"
+#include "citronlever/src/Gateway/internal/ServedRequest.h"
 
 namespace citronlever {
 
@@ -10,13 +7,10 @@
 
 /// A request to one service of a route.
 class ForwardRequest final
-    : public ActiveRequest,
+    : public ServedRequest,
       public std::enable_shared_from_this<ForwardRequest> {
 public:
-  ForwardRequest(GatewayContext &Context, RoutedRequest Routed,
-                 AnswerCallback Answer)
-      : Context(Context), Routed(std::move(Routed)), Answer(std::move(Answer)),
-        Deadlines(requestDeadlines(this->Routed, Context)), Timer(Context.Io) {}
+  using ServedRequest::ServedRequest;
 
   void start() {
     const TimePoint Now = Clock::now();
@@ -37,13 +31,8 @@
     this->schedule();
   }
 
-  void onCallerGone() override {
-    ++this->Context.Counters.CallersGone;
-    this->stop();
-  }
-
   void giveUp(std::string_view Reason) override {
-    if (this->Answer)
+    if (!this->isEnded())
       this->endUnanswered(Reason);
   }
 
@@ -58,7 +47,7 @@
   }
 
   void schedule() {
-    if (!this->Answer)
+    if (this->isEnded())
       return;
     this->Timer.arm(std::min(this->Deadlines.End, this->Call->wakeAt()),
                     [Weak = this->weak_from_this()] {
@@ -91,31 +80,11 @@
                                     Result.Reason));
   }
 
-  Duration routeRetryDelay() {
-    return retryDelay(this->Routed.Route->LatencyObjective,
-                      this->Context.random());
-  }
-
-  void finish(HttpResponse Response) {
-    if (!this->Answer)
-      return;
-    const AnswerCallback Reply = std::exchange(this->Answer, nullptr);
-    this->stop();
-    Reply(std::move(Response));
-  }
-
-  void stop() {
-    this->Answer = nullptr;
-    this->Timer.cancel();
+  void abandonCalls() override {
     if (this->Call)
       this->Call->abandon();
   }
 
-  GatewayContext &Context;
-  RoutedRequest Routed;
-  AnswerCallback Answer;
-  RequestDeadlines Deadlines;
-  EarliestTimer Timer;
   std::shared_ptr<ReplicaCall> Call;
 };
 
@@ -124,10 +93,8 @@
 std::shared_ptr<ActiveRequest> startForward(GatewayContext &Context,
                                             RoutedRequest Routed,
                                             AnswerCallback Answer) {
-  auto Forward = std::make_shared<ForwardRequest>(Context, std::move(Routed),
-                                                  std::move(Answer));
-  Forward->start();
-  return Forward;
+  return startServing<ForwardRequest>(Context, std::move(Routed),
+                                      std::move(Answer));
 }
 
 } // namespace citronlever
--- a/citronlever/src/Gateway/ScatterRequest.cpp
+++ b/citronlever/src/Gateway/ScatterRequest.cpp
@@ -1,10 +1,7 @@
 #include "citronlever/src/Dispatch/GatherDecision.h"
-#include "citronlever/src/Gateway/ErrorResponse.h"
 #include "citronlever/src/Gateway/RecordMerge.h"
 #include "citronlever/src/Gateway/ReplicaCall.h"
-#include "citronlever/src/Gateway/RoutedRequest.h"
-#include "citronlever/src/Gateway/internal/EarliestTimer.h"
-#include "citronlever/src/Gateway/internal/RequestDeadlines.h"
+#include "citronlever/src/Gateway/internal/ServedRequest.h"
 
 #include <algorithm>
 
@@ -14,13 +11,12 @@
 
 /// A request to all shards of a route, with the parts received so far.
 class ScatterRequest final
-    : public ActiveRequest,
+    : public ServedRequest,
       public std::enable_shared_from_this<ScatterRequest> {
 public:
   ScatterRequest(GatewayContext &Context, RoutedRequest Routed,
                  AnswerCallback Answer)
-      : Context(Context), Routed(std::move(Routed)), Answer(std::move(Answer)),
-        Deadlines(requestDeadlines(this->Routed, Context)), Timer(Context.Io) {
+      : ServedRequest(Context, std::move(Routed), std::move(Answer)) {
     const RouteSpec &Route = *this->Routed.Route;
     this->Progress.Shards = Route.Shards.size();
     this->Progress.Pending = Route.Shards.size();
@@ -38,11 +34,6 @@
     this->callShards();
   }
 
-  void onCallerGone() override {
-    ++this->Context.Counters.CallersGone;
-    this->stop();
-  }
-
   void giveUp(std::string_view Reason) override {
     const TimePoint Now = Clock::now();
     this->Deadlines.End = Now;
@@ -110,7 +101,7 @@
   }
 
   void advance() {
-    if (!this->Answer)
+    if (this->isEnded())
       return;
     const TimePoint Now = Clock::now();
     switch (decideGather(this->Progress, Now)) {
@@ -135,7 +126,7 @@
   }
 
   void wakeAt(TimePoint When) {
-    if (!this->Answer)
+    if (this->isEnded())
       return;
     this->Timer.arm(When, [Weak = this->weak_from_this()] {
       if (const auto Self = Weak.lock())
@@ -146,7 +137,7 @@
   void wake() {
     const TimePoint Now = Clock::now();
     for (const auto &Call : this->Calls)
-      if (this->Answer && !Call->isFinished())
+      if (!this->isEnded() && !Call->isFinished())
         Call->wake(Now);
     this->advance();
     this->wakeForCalls();
@@ -167,35 +158,19 @@
   }
 
   void fail(TimePoint Now) {
-    for (const auto &Call : this->Calls) {
-      Call->abandon();
+    this->abandonCalls();
+    for (const auto &Call : this->Calls)
       this->Ran = combine(this->Ran, Call->ran());
-    }
-    const Duration RetryDelay = retryDelay(this->Routed.Route->LatencyObjective,
-                                           this->Context.random());
     this->finish(unservedResponse(
-        this->Ran, Now >= this->Deadlines.End, RetryDelay,
+        this->Ran, Now >= this->Deadlines.End, this->routeRetryDelay(),
         this->Reason.empty() ? "too few shards answered" : this->Reason));
   }
 
-  void finish(HttpResponse Response) {
-    const AnswerCallback Reply = std::exchange(this->Answer, nullptr);
-    this->stop();
-    Reply(std::move(Response));
-  }
-
-  void stop() {
-    this->Answer = nullptr;
-    this->Timer.cancel();
+  void abandonCalls() override {
     for (const auto &Call : this->Calls)
       Call->abandon();
   }
 
-  GatewayContext &Context;
-  RoutedRequest Routed;
-  AnswerCallback Answer;
-  RequestDeadlines Deadlines;
-  EarliestTimer Timer;
   GatherProgress Progress;
   std::vector<std::shared_ptr<ReplicaCall>> Calls;
   std::vector<std::string> Parts;
@@ -210,10 +185,8 @@
 std::shared_ptr<ActiveRequest> startScatter(GatewayContext &Context,
                                             RoutedRequest Routed,
                                             AnswerCallback Answer) {
-  auto Scatter = std::make_shared<ScatterRequest>(Context, std::move(Routed),
-                                                  std::move(Answer));
-  Scatter->start();
-  return Scatter;
+  return startServing<ScatterRequest>(Context, std::move(Routed),
+                                      std::move(Answer));
 }
 
 } // namespace citronlever
