Log and count what is sent to leaves that state a limit

Callers saw nothing; leaves got more than the rate that they stated, and no log or figure showed a stated limit. Events 503 and 504, leaves_limited, leaf_limited_calls_total and fields of /dump now do. No decision changes.

--- a/citronlever/src/Edge/EdgeNodeReports.cpp
+++ b/citronlever/src/Edge/EdgeNodeReports.cpp
@@ -19,11 +19,13 @@
           {"callers_gone_total", Number(Requests.CallersGone)},
           {"turned_away_total", Number(Requests.TurnedAway)},
           {"leaf_calls_total", Number(Calls.Calls)},
+          {"leaf_limited_calls_total", Number(Calls.LimitedCalls)},
           {"leaf_connects_total", Number(Calls.Connects)},
           {"leaf_connect_failures_total", Number(Calls.ConnectFailures)},
           {"leaf_stray_bytes_total", Number(Calls.StrayBytes)},
           {"extra_sends_denied_total", Number(this->Fleet.extraSendsDenied())},
           {"leaf_connections", Number(this->Fleet.connections())},
+          {"leaves_limited", Number(this->Fleet.limitedLeaves())},
           {"leaves", Number(this->Leaves.size())},
           {"store_reads_total", Number(Store.Reads)},
           {"store_watches_total", Number(Store.Watches)},
@@ -61,6 +63,7 @@
   const TimePoint Now = Clock::now();
   this->Fleet.forEach([&](LeafChannel &Channel) {
     const LeafEntry &Entry = Channel.entry();
+    const StatedRate &Stated = Channel.statedRate();
     LeafStates.push_back({{"id", Entry.Id},
                           {"service", Entry.Service},
                           {"domain", Entry.Domain},
@@ -68,6 +71,9 @@
                           {"connections", Channel.connections()},
                           {"outstanding", Channel.stats().outstanding()},
                           {"slowness", Channel.stats().slowness(Now)},
+                          {"stated_per_second", Stated.PerSecond.value_or(-1)},
+                          {"stated_age_ms", toMs(Now - Stated.At)},
+                          {"limited_calls", Channel.limitedCalls()},
                           {"suspect", Channel.stats().isSuspect()},
                           {"misdirected", Channel.isMisdirected()}});
   });
--- a/citronlever/src/Gateway/HeaderNames.h
+++ b/citronlever/src/Gateway/HeaderNames.h
@@ -19,6 +19,9 @@
   std::string_view NotRun;
   /// The load of the leaf as "running,waiting,slots".
   std::string_view Load;
+  /// Requests per second that the leaf takes from all senders together, while
+  /// it states a limit.
+  std::string_view RateLimit;
   /// Signatures of the parts of a merged answer.
   std::string_view PartSignatures;
   /// Number of shards missing from a merged answer.
--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -1,5 +1,6 @@
 #include "citronlever/src/Gateway/LeafChannel.h"
 
+#include "citronlever/src/Core/Event.h"
 #include "citronlever/src/Core/ReentryGuard.h"
 #include "citronlever/src/Gateway/internal/ChannelConnection.h"
 
@@ -130,6 +131,42 @@
   }
 }
 
+void LeafChannel::countSent(const ChannelCall &Call, TimePoint Now) {
+  this->Stats.onSent(Call.Id, Now);
+  ++this->Totals.Calls;
+  if (!this->Stated.PerSecond)
+    return;
+  ++this->Totals.LimitedCalls;
+  ++this->LimitedCalls;
+}
+
+void LeafChannel::readStatedRate(const HttpFields &Answer, TimePoint Now) {
+  bool IsStated = false;
+  std::optional<double> Lowest;
+  for (const auto &[Name, Value] : Answer.all()) {
+    if (!sameFieldName(Name, this->Names.RateLimit))
+      continue;
+    IsStated = true;
+    const std::optional<double> Rate = parseStatedRate(Value);
+    if (Rate && (!Lowest || *Rate < *Lowest))
+      Lowest = Rate;
+  }
+  // A statement that cannot be read does not end the limit stated before.
+  if (IsStated && !Lowest)
+    return;
+  const bool Changed = this->Stated.PerSecond != Lowest;
+  this->Stated = {Lowest, Now};
+  if (!Changed)
+    return;
+  if (Lowest) {
+    logEvent(event::LeafLimited, this->Entry.Id, this->Entry.Service,
+             "per_second", *Lowest);
+    return;
+  }
+  logEvent(event::LeafLimitEnded, this->Entry.Id, this->Entry.Service, "calls",
+           std::exchange(this->LimitedCalls, 0));
+}
+
 void LeafChannel::onCallEnded(const ChannelCallPtr &Call,
                               ChannelAnswer Answer) {
   const TimePoint Now = Clock::now();
--- a/citronlever/src/Gateway/LeafChannel.h
+++ b/citronlever/src/Gateway/LeafChannel.h
@@ -3,6 +3,7 @@
 #include "citronlever/src/Core/Time.h"
 #include "citronlever/src/Dispatch/ColdRateLimiter.h"
 #include "citronlever/src/Dispatch/ReplicaStats.h"
+#include "citronlever/src/Dispatch/StatedRate.h"
 #include "citronlever/src/Gateway/ChannelAnswer.h"
 #include "citronlever/src/Gateway/LeafRequest.h"
 #include "citronlever/src/Registry/LeafEntry.h"
@@ -41,6 +42,8 @@
   std::uint64_t Connects = 0;
   std::uint64_t ConnectFailures = 0;
   std::uint64_t Calls = 0;
+  /// Calls that were sent while the leaf stated a limit.
+  std::uint64_t LimitedCalls = 0;
   /// Connections closed, and answers skipped, because of bytes that do not
   /// belong to a request.
   std::uint64_t StrayBytes = 0;
@@ -97,6 +100,10 @@
   /// it there.
   ColdRateLimiter &coldLimiter() { return this->ColdLimiter; }
   ReplicaStats &stats() { return this->Stats; }
+  /// \returns the rate of requests that the leaf says it takes.
+  const StatedRate &statedRate() const { return this->Stated; }
+  /// \returns how many calls were sent while the leaf stated its limit.
+  std::uint64_t limitedCalls() const { return this->LimitedCalls; }
 
   /// \returns whether a call would have to wait for a connection in use.
   bool isSaturated() const;
@@ -133,6 +140,10 @@
                        std::string_view Reason);
   void onCallEnded(const ChannelCallPtr &Call, ChannelAnswer Answer);
   void failWaiting(std::string_view Reason);
+  /// Counts a call that is sent now.
+  void countSent(const ChannelCall &Call, TimePoint Now);
+  /// Notes whether an answer of the leaf states a limit.
+  void readStatedRate(const HttpFields &Answer, TimePoint Now);
 
   boost::asio::io_context &Context;
   LeafEntry Entry;
@@ -141,6 +152,8 @@
   LeafChannelCounters &Totals;
   ReplicaStats Stats;
   ColdRateLimiter ColdLimiter;
+  StatedRate Stated;
+  std::uint64_t LimitedCalls = 0;
   std::vector<std::shared_ptr<ChannelConnection>> Connections;
   std::vector<std::shared_ptr<ChannelConnection>> IdleConnections;
   std::deque<ChannelCallPtr> Waiting;
--- a/citronlever/src/Gateway/LeafPool.cpp
+++ b/citronlever/src/Gateway/LeafPool.cpp
@@ -278,6 +278,13 @@
   return Count;
 }
 
+std::size_t LeafPool::limitedLeaves() const {
+  return static_cast<std::size_t>(
+      std::ranges::count_if(this->Channels, [](const auto &Item) {
+        return Item.second->statedRate().PerSecond.has_value();
+      }));
+}
+
 std::size_t LeafPool::connections() const {
   std::size_t Count = 0;
   for (const auto &[Id, Channel] : this->Channels)
--- a/citronlever/src/Gateway/LeafPool.h
+++ b/citronlever/src/Gateway/LeafPool.h
@@ -114,6 +114,8 @@
   double reachableShare(TimePoint Now) const;
   /// \returns how many extra sends were denied by the budgets.
   std::uint64_t extraSendsDenied() const;
+  /// \returns the number of leaves that state a limit on their requests.
+  std::size_t limitedLeaves() const;
   std::size_t leaves() const { return this->Channels.size(); }
 
 private:
--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -102,8 +102,7 @@
   this->CurrentCall = Call;
   this->SkippedAnswers = 0;
   Call->SentAt = Now;
-  Channel->Stats.onSent(Call->Id, Now);
-  ++Channel->Totals.Calls;
+  Channel->countSent(*Call, Now);
   this->resetParser();
   this->Outgoing = Call->Request->bytes(Channel->entry().Id, Now);
   this->Writing = true;
@@ -275,6 +274,8 @@
   auto Message = this->AnswerParser->release();
   if (parseLoad(this->AnswerHeaders.get(Channel->Names.Load), Load))
     Channel->Stats.onLoadReport(Load, Now);
+  if (Message.result_int() != 421)
+    Channel->readStatedRate(this->AnswerHeaders, Now);
   Result.Response.Status = static_cast<int>(Message.result_int());
   Result.Response.Headers = std::move(this->AnswerHeaders);
   Result.Response.Body = std::move(Message.body());
--- a/test/standins/RawLeaf.h
+++ b/test/standins/RawLeaf.h
@@ -152,6 +152,7 @@
                                           .AnswerSignature = "X-Signature",
                                           .NotRun = "X-Not-Run",
                                           .Load = "X-Load",
+                                          .RateLimit = "X-Rate-Limit",
                                           .PartSignatures = "X-Parts",
                                           .MissingParts = "X-Missing"};
 
