Keep to the rate that a leaf states, over the whole fleet

Class: a limit of the whole fleet that each process has to keep alone.

Change: StatedRateLimiter. A share of the rate and of a bounded burst goes to each of the first processes in the leaf's rendezvous order, so many that the burst is at least one request each. The others send nothing, but for turns when nobody has heard of the leaf for 10 s. Entries tell each other what they hear (PeerProbe notices), so that turns agree and all learn of the end. Calls that wait for a connection are moved when a limit is stated; copies need spare burst, probes skip limited leaves; the reason of a refusal names leaf, limit, age and share. encodeToString moved to Codec.h (it stood three times).

--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -1,10 +1,13 @@
 #include "citronlever/src/Edge/EdgeNode.h"
 
 #include "citronlever/src/Core/Event.h"
+#include "citronlever/src/Core/Hash.h"
 #include "citronlever/src/Registry/EntrySelection.h"
+#include "citronlever/src/Wire/Codec.h"
 
 #include <algorithm>
 #include <random>
+#include <span>
 #include <utility>
 
 namespace citronlever {
@@ -23,6 +26,10 @@
 constexpr Duration JoinPeriod = Seconds(3);
 constexpr std::size_t MinSendersWhileJoining = 16;
 constexpr std::size_t MaxAddressesPerCaller = 64;
+/// Time between two notices of limits that leaves state.
+constexpr Duration LimitNoticePeriod = Milliseconds(200);
+/// Limits in one notice; the ids of leaves are short.
+constexpr std::size_t MaxLimitsPerNotice = 20;
 /// After an outage of the store, the members renew their registrations at
 /// random times within this time for each member.
 constexpr Duration RecoverySpreadPerMember = Milliseconds(2);
@@ -86,6 +93,8 @@
   logEvent(event::ProcessStarted, this->Settings.Name,
            toString(this->Settings.CallerEndpoint));
   this->PeerServer.listen(this->Settings.PeerEndpoint);
+  this->Probe->setNoticeHandler(
+      [this](std::string_view Encoded) { this->onLimitNotices(Encoded); });
   this->Probe->listen(this->Settings.PeerEndpoint);
   this->Feed->start({[this] { this->onStoreRead(); },
                      [this] { this->Relay.onStoreUnavailable(); },
@@ -228,9 +237,7 @@
   this->EntriesOutdated = this->Members.expire(Now) || this->EntriesOutdated;
   this->updateEntries();
   this->Tenure.update(this->isEntry(), Now);
-  SenderGroup Current{this->countSenders(Now), this->Tenure.since()};
-  if (Now < this->StartedAt + JoinPeriod)
-    Current.Count = std::max(Current.Count, MinSendersWhileJoining);
+  SenderGroup Current = this->senderGroup(Now);
   if (!this->FleetOutdated && !Expired && Current == this->Senders)
     return;
   this->FleetOutdated = false;
@@ -248,6 +255,47 @@
   return this->Entries.size() + SenderHeadroom;
 }
 
+SenderGroup EdgeNode::senderGroup(TimePoint Now) const {
+  SenderGroup Result{this->countSenders(Now),
+                     this->Tenure.since(),
+                     hashOf(this->Settings.Name),
+                     {}};
+  if (Now < this->StartedAt + JoinPeriod)
+    Result.Count = std::max(Result.Count, MinSendersWhileJoining);
+  for (const FleetMember &Member : this->Entries)
+    Result.Listed.push_back(hashOf(Member.Name));
+  // While it is stopping it still serves, though callers are sent elsewhere.
+  if (this->OnStopped && !this->isEntry())
+    Result.Listed.push_back(Result.Self);
+  return Result;
+}
+
+void EdgeNode::shareLimits(TimePoint Now) {
+  if (Now < this->ShareLimitsAt)
+    return;
+  this->ShareLimitsAt = Now + LimitNoticePeriod;
+  const std::vector<LimitNotice> All = this->Fleet.takeLimitNotices(Now);
+  for (std::span<const LimitNotice> Left(All); !Left.empty();) {
+    const auto Page = Left.first(std::min(Left.size(), MaxLimitsPerNotice));
+    Left = Left.subspan(Page.size());
+    const std::string Encoded =
+        encodeToString(LimitNotices{{Page.begin(), Page.end()}});
+    if (Encoded.size() <= PeerProbe::MaxNoticeBytes)
+      this->Probe->sendNotice(Encoded);
+  }
+}
+
+void EdgeNode::onLimitNotices(std::string_view Encoded) {
+  const TimePoint Now = Clock::now();
+  try {
+    const auto Notices = decodeFromString<LimitNotices>(Encoded);
+    for (const LimitNotice &Notice : Notices.Items)
+      this->Fleet.onLimitNotice(Notice, Now);
+  } catch (const DecodeError &Failure) {
+    logEvent(event::FrameRefused, "limit notice", Failure.what());
+  }
+}
+
 void EdgeNode::scheduleTick(TimePoint Due) {
   this->Timer.expires_at(Due);
   this->Timer.async_wait([this, Due](auto Failure) {
@@ -257,6 +305,7 @@
     this->LoopLag.record(Due, Now);
     this->updateFleet(Now);
     this->Relay.expire(Now);
+    this->shareLimits(Now);
     this->Coordinator.tick(Now, this->Feed->isStoreUnavailable());
     if (this->OnStopped)
       this->finishStop(Now);
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -103,8 +103,14 @@
   /// \returns how many processes the fleet's limits are divided by, this one
   /// included.
   std::size_t countSenders(TimePoint Now) const;
+  /// \returns the processes that share the fleet's limits.
+  SenderGroup senderGroup(TimePoint Now) const;
   /// Passes changes of leaves, routes and limits on to \c Fleet.
   void updateFleet(TimePoint Now);
+  /// Tells the other entries what leaves have stated about their limits.
+  void shareLimits(TimePoint Now);
+  /// Takes what another entry was told by leaves.
+  void onLimitNotices(std::string_view Encoded);
   void scheduleTick(TimePoint Due);
   void finishStop(TimePoint Now);
 
@@ -134,9 +140,11 @@
   std::vector<FleetMember> Entries;
   SenderTenure Tenure;
   /// The processes that the fleet's limits are divided by.
-  SenderGroup Senders{0, {}};
+  SenderGroup Senders{.Count = 0};
   /// Random, so that members start with different relays.
   std::size_t RelayOffset = std::random_device{}();
+  /// When the other entries are told of the leaves' limits again.
+  TimePoint ShareLimitsAt{};
   /// Leaves, routes, closed domains or rollouts changed since the last
   /// Fleet.update().
   bool FleetOutdated = false;
--- a/citronlever/src/Edge/EdgeNodeReports.cpp
+++ b/citronlever/src/Edge/EdgeNodeReports.cpp
@@ -20,6 +20,7 @@
           {"turned_away_total", Number(Requests.TurnedAway)},
           {"leaf_calls_total", Number(Calls.Calls)},
           {"leaf_limited_calls_total", Number(Calls.LimitedCalls)},
+          {"leaf_limit_denied_total", Number(this->Fleet.limitDenied())},
           {"leaf_connects_total", Number(Calls.Connects)},
           {"leaf_connect_failures_total", Number(Calls.ConnectFailures)},
           {"leaf_stray_bytes_total", Number(Calls.StrayBytes)},
@@ -63,7 +64,7 @@
   const TimePoint Now = Clock::now();
   this->Fleet.forEach([&](LeafChannel &Channel) {
     const LeafEntry &Entry = Channel.entry();
-    const StatedRate &Stated = Channel.statedRate();
+    const StatedRate &Stated = Channel.rateLimiter().stated();
     LeafStates.push_back({{"id", Entry.Id},
                           {"service", Entry.Service},
                           {"domain", Entry.Domain},
@@ -73,6 +74,7 @@
                           {"slowness", Channel.stats().slowness(Now)},
                           {"stated_per_second", Stated.PerSecond.value_or(-1)},
                           {"stated_age_ms", toMs(Now - Stated.At)},
+                          {"own_per_second", Channel.rateLimiter().ownRate()},
                           {"limited_calls", Channel.limitedCalls()},
                           {"suspect", Channel.stats().isSuspect()},
                           {"misdirected", Channel.isMisdirected()}});
--- a/citronlever/src/Edge/RolloutCoordinator.cpp
+++ b/citronlever/src/Edge/RolloutCoordinator.cpp
@@ -26,16 +26,6 @@
 /// fail its precondition.
 constexpr Duration WriteSettleTime = Seconds(3);
 
-template <class T> std::string encodeToString(const T &Message) {
-  const Bytes Encoded = encode(Message);
-  return {reinterpret_cast<const char *>(Encoded.data()), Encoded.size()};
-}
-
-template <class T> T decodeFromString(const std::string &Text) {
-  return decode<T>(
-      ByteView(reinterpret_cast<const std::byte *>(Text.data()), Text.size()));
-}
-
 } // namespace
 
 RolloutCoordinator::RolloutCoordinator(boost::asio::io_context &Context,
--- a/citronlever/src/Gateway/LeafChannel.cpp
+++ b/citronlever/src/Gateway/LeafChannel.cpp
@@ -30,6 +30,7 @@
     this->onCallEnded(Call, std::move(Result));
     return;
   }
+  this->RateLimiter.countSend(Clock::now());
   this->Waiting.push_back(Call);
   this->sendWaiting();
 }
@@ -124,17 +125,22 @@
 void LeafChannel::failWaiting(std::string_view Reason) {
   std::deque<ChannelCallPtr> Failed;
   Failed.swap(this->Waiting);
-  for (const ChannelCallPtr &Call : Failed) {
-    ChannelAnswer Result;
-    Result.Reason = std::string(Reason);
-    this->onCallEnded(Call, std::move(Result));
-  }
+  for (const ChannelCallPtr &Call : Failed)
+    this->endUnsent(Call, Reason);
+}
+
+void LeafChannel::endUnsent(const ChannelCallPtr &Call,
+                            std::string_view Reason) {
+  this->RateLimiter.refund();
+  ChannelAnswer Result;
+  Result.Reason = std::string(Reason);
+  this->onCallEnded(Call, std::move(Result));
 }
 
 void LeafChannel::countSent(const ChannelCall &Call, TimePoint Now) {
   this->Stats.onSent(Call.Id, Now);
   ++this->Totals.Calls;
-  if (!this->Stated.PerSecond)
+  if (!this->RateLimiter.isLimited())
     return;
   ++this->Totals.LimitedCalls;
   ++this->LimitedCalls;
@@ -154,17 +160,31 @@
   // A statement that cannot be read does not end the limit stated before.
   if (IsStated && !Lowest)
     return;
-  const bool Changed = this->Stated.PerSecond != Lowest;
-  this->Stated = {Lowest, Now};
-  if (!Changed)
+  const std::optional<double> Before = this->RateLimiter.stated().PerSecond;
+  this->RateLimiter.onStated({Lowest, Now}, Now);
+  this->onStatedChanged(Before);
+}
+
+void LeafChannel::onShared(const StatedRate &New, TimePoint Now) {
+  const std::optional<double> Before = this->RateLimiter.stated().PerSecond;
+  this->RateLimiter.onShared(New, Now);
+  this->onStatedChanged(Before);
+}
+
+void LeafChannel::onStatedChanged(std::optional<double> Before) {
+  const std::optional<double> Rate = this->RateLimiter.stated().PerSecond;
+  if (Rate == Before)
     return;
-  if (Lowest) {
-    logEvent(event::LeafLimited, this->Entry.Id, this->Entry.Service,
-             "per_second", *Lowest);
+  if (!Rate) {
+    logEvent(event::LeafLimitEnded, this->Entry.Id, this->Entry.Service,
+             "calls", std::exchange(this->LimitedCalls, 0));
     return;
   }
-  logEvent(event::LeafLimitEnded, this->Entry.Id, this->Entry.Service, "calls",
-           std::exchange(this->LimitedCalls, 0));
+  logEvent(event::LeafLimited, this->Entry.Id, this->Entry.Service,
+           "per_second", *Rate, "own_per_second", this->RateLimiter.ownRate());
+  // Calls that wait were let in without the limit.
+  if (!Before)
+    this->failWaiting("leaf states a limit");
 }
 
 void LeafChannel::onCallEnded(const ChannelCallPtr &Call,
@@ -193,6 +213,7 @@
       std::find(this->Waiting.begin(), this->Waiting.end(), Call);
   if (Queued != this->Waiting.end()) {
     this->Waiting.erase(Queued);
+    this->RateLimiter.refund();
     Call->Done = true;
     return false;
   }
--- a/citronlever/src/Gateway/LeafChannel.h
+++ b/citronlever/src/Gateway/LeafChannel.h
@@ -3,7 +3,7 @@
 #include "citronlever/src/Core/Time.h"
 #include "citronlever/src/Dispatch/ColdRateLimiter.h"
 #include "citronlever/src/Dispatch/ReplicaStats.h"
-#include "citronlever/src/Dispatch/StatedRate.h"
+#include "citronlever/src/Dispatch/StatedRateLimiter.h"
 #include "citronlever/src/Gateway/ChannelAnswer.h"
 #include "citronlever/src/Gateway/LeafRequest.h"
 #include "citronlever/src/Registry/LeafEntry.h"
@@ -91,6 +91,9 @@
   /// calls in flight continue.
   void retire(std::string_view Reason);
 
+  /// Takes what the leaf stated to another process.
+  void onShared(const StatedRate &New, TimePoint Now);
+
   /// Sets how many connections may be open at once.
   void setMaxConnections(int Limit) { this->MaxConnections = Limit; }
 
@@ -100,8 +103,9 @@
   /// it there.
   ColdRateLimiter &coldLimiter() { return this->ColdLimiter; }
   ReplicaStats &stats() { return this->Stats; }
-  /// \returns the rate of requests that the leaf says it takes.
-  const StatedRate &statedRate() const { return this->Stated; }
+  /// Limits the calls to the rate that the leaf states. Calls are counted here.
+  StatedRateLimiter &rateLimiter() { return this->RateLimiter; }
+  const StatedRateLimiter &rateLimiter() const { return this->RateLimiter; }
   /// \returns how many calls were sent while the leaf stated its limit.
   std::uint64_t limitedCalls() const { return this->LimitedCalls; }
 
@@ -144,6 +148,10 @@
   void countSent(const ChannelCall &Call, TimePoint Now);
   /// Notes whether an answer of the leaf states a limit.
   void readStatedRate(const HttpFields &Answer, TimePoint Now);
+  /// Reacts to a change of the stated rate. \p Before is the earlier one.
+  void onStatedChanged(std::optional<double> Before);
+  /// Ends \p Call, which was counted but not sent.
+  void endUnsent(const ChannelCallPtr &Call, std::string_view Reason);
 
   boost::asio::io_context &Context;
   LeafEntry Entry;
@@ -152,7 +160,7 @@
   LeafChannelCounters &Totals;
   ReplicaStats Stats;
   ColdRateLimiter ColdLimiter;
-  StatedRate Stated;
+  StatedRateLimiter RateLimiter;
   std::uint64_t LimitedCalls = 0;
   std::vector<std::shared_ptr<ChannelConnection>> Connections;
   std::vector<std::shared_ptr<ChannelConnection>> IdleConnections;
--- a/citronlever/src/Gateway/LeafPool.cpp
+++ b/citronlever/src/Gateway/LeafPool.cpp
@@ -1,8 +1,11 @@
 #include "citronlever/src/Gateway/LeafPool.h"
 
+#include "citronlever/src/Core/Hash.h"
 #include "citronlever/src/Dispatch/ConnectionShare.h"
 
 #include <algorithm>
+#include <cmath>
+#include <sstream>
 
 namespace citronlever {
 
@@ -14,6 +17,8 @@
 constexpr double SaturatedCost = 2;
 /// Cost of traffic between failure domains and of its longer path.
 constexpr double OtherDomainCost = 0.6;
+/// Added cost of a leaf whose stated rate is used up, in typical latencies.
+constexpr double LimitCost = 1;
 /// Random cost that spreads calls over replicas of equal cost.
 constexpr double CostJitter = 0.1;
 
@@ -124,9 +129,27 @@
   Channel->coldLimiter().configure(Now + Entry.ColdTimeLeft,
                                    Spec ? Spec->ColdRatePerSecond : 0,
                                    this->Senders.Count, Now);
+  Channel->rateLimiter().setPlace(this->placeAt(Entry.Id), Now);
   this->Services[Entry.Service].push_back(Channel);
 }
 
+SenderPlace LeafPool::placeAt(std::string_view LeafId) const {
+  SenderPlace Result;
+  Result.Count = this->Senders.Count;
+  if (this->Senders.Listed.empty())
+    return Result;
+  const std::uint64_t Key = hashOf(LeafId);
+  const std::uint64_t Own = rendezvousScore(Key, this->Senders.Self);
+  Result.IsListed = false;
+  for (const std::uint64_t Member : this->Senders.Listed) {
+    if (Member == this->Senders.Self)
+      Result.IsListed = true;
+    else if (rendezvousScore(Key, Member) > Own)
+      ++Result.Rank;
+  }
+  return Result;
+}
+
 std::span<const LeafChannelPtr> LeafPool::replicas(std::string_view Service) {
   const auto Found = this->Services.find(Service);
   return Found == this->Services.end()
@@ -143,6 +166,7 @@
     Cost += ConnectCost;
   if (Channel.entry().Domain != this->Settings.Domain)
     Cost += OtherDomainCost;
+  Cost += LimitCost * Channel.rateLimiter().usedShare(Now);
   std::uniform_real_distribution<double> Noise(0, CostJitter);
   return Cost + Noise(this->Random);
 }
@@ -162,7 +186,65 @@
 
 bool LeafPool::canCall(LeafChannel &Channel, TimePoint Now) {
   return !Channel.isMisdirected() && Channel.stats().isAvailable(Now) &&
-         Channel.coldLimiter().canSend(Now);
+         Channel.coldLimiter().canSend(Now) &&
+         Channel.rateLimiter().canSend(Now);
+}
+
+bool LeafPool::isRateLimited(std::string_view Service) {
+  return std::ranges::any_of(this->replicas(Service),
+                             [](const LeafChannelPtr &Channel) {
+                               return Channel->rateLimiter().isLimited();
+                             });
+}
+
+std::vector<LimitNotice> LeafPool::takeLimitNotices(TimePoint Now) {
+  std::vector<LimitNotice> Result;
+  for (const auto &[Id, Channel] : this->Channels) {
+    const auto Stated = Channel->rateLimiter().takeShareable();
+    if (!Stated)
+      continue;
+    const auto Age = static_cast<std::uint32_t>(toMs(Now - Stated->At));
+    Result.push_back({Id, Channel->entry().Incarnation,
+                      Stated->PerSecond.has_value(),
+                      Stated->PerSecond.value_or(0), Age});
+  }
+  return Result;
+}
+
+void LeafPool::onLimitNotice(const LimitNotice &Notice, TimePoint Now) {
+  const auto Found = this->Channels.find(Notice.LeafId);
+  if (Found == this->Channels.end() || !std::isfinite(Notice.PerSecond) ||
+      Notice.PerSecond < 0)
+    return;
+  // Kept, because calls that end may change the set of leaves.
+  const LeafChannelPtr Channel = Found->second;
+  if (Channel->entry().Incarnation != Notice.Incarnation)
+    return;
+  StatedRate Stated;
+  Stated.At = Now - Milliseconds(Notice.AgeMs);
+  if (Notice.Limited)
+    Stated.PerSecond = std::min(Notice.PerSecond, MaxStatedRate);
+  Channel->onShared(Stated, Now);
+}
+
+std::string LeafPool::countUnavailable(std::string_view Service,
+                                       TimePoint Now) {
+  std::ostringstream Reason;
+  Reason << "no leaf of " << Service << " is available";
+  bool Limited = false;
+  for (const LeafChannelPtr &Channel : this->replicas(Service)) {
+    StatedRateLimiter &Limiter = Channel->rateLimiter();
+    if (!Limiter.isLimited() || Limiter.canSend(Now))
+      continue;
+    Limited = true;
+    Reason << "; " << Channel->entry().Id << " takes "
+           << *Limiter.stated().PerSecond << " per second, stated "
+           << toMs(Now - Limiter.stated().At) << " ms ago, "
+           << Limiter.ownRate() << " from here";
+  }
+  if (Limited)
+    ++this->LimitDenied;
+  return Reason.str();
 }
 
 bool LeafPool::isUsable(std::string_view Service, TimePoint Now) {
@@ -214,7 +296,8 @@
   const ServiceRollout *Rollout = this->Rollouts.find(Service);
   for (const LeafChannelPtr &Channel : this->replicas(Service)) {
     if (Channel == Chosen || Channel->isMisdirected() ||
-        Channel->coldLimiter().coldUntil() > Now)
+        Channel->coldLimiter().coldUntil() > Now ||
+        Channel->rateLimiter().isLimited())
       continue;
     // Probes would add to the traffic of an unproven version.
     if (Rollout && Rollout->isNewVersion(Channel->entry().Version) &&
@@ -281,7 +364,7 @@
 std::size_t LeafPool::limitedLeaves() const {
   return static_cast<std::size_t>(
       std::ranges::count_if(this->Channels, [](const auto &Item) {
-        return Item.second->statedRate().PerSecond.has_value();
+        return Item.second->rateLimiter().isLimited();
       }));
 }
 
--- a/citronlever/src/Gateway/LeafPool.h
+++ b/citronlever/src/Gateway/LeafPool.h
@@ -4,6 +4,7 @@
 #include "citronlever/src/Dispatch/RouteLatency.h"
 #include "citronlever/src/Dispatch/ServiceRollouts.h"
 #include "citronlever/src/Gateway/LeafChannel.h"
+#include "citronlever/src/Gateway/LimitNotice.h"
 #include "citronlever/src/Registry/LeafRegistry.h"
 #include "citronlever/src/Rollout/VersionSide.h"
 #include "citronlever/src/Routing/RouteTable.h"
@@ -36,6 +37,11 @@
   std::size_t Count = 1;
   /// Since when this process has been one of them.
   TimePoint MemberSince{};
+  /// Hash of this process's name.
+  std::uint64_t Self = 0;
+  /// Hashes of the names of the processes that callers are sent to; empty if
+  /// they are not known.
+  std::vector<std::uint64_t> Listed{};
 
   bool operator==(const SenderGroup &) const = default;
 };
@@ -76,6 +82,20 @@
   /// \returns whether a leaf of \p Service can be called now.
   bool isUsable(std::string_view Service, TimePoint Now);
 
+  /// \returns whether a leaf of \p Service states a limit on its requests.
+  bool isRateLimited(std::string_view Service);
+
+  /// \returns what the other processes should be told of the leaves' limits.
+  std::vector<LimitNotice> takeLimitNotices(TimePoint Now);
+
+  /// Takes what another process was told by a leaf. Unknown leaves and
+  /// impossible rates are ignored.
+  void onLimitNotice(const LimitNotice &Notice, TimePoint Now);
+
+  /// Counts a request for which choose() found no leaf of \p Service.
+  /// \returns the reason, for error bodies and the log.
+  std::string countUnavailable(std::string_view Service, TimePoint Now);
+
   /// \returns a leaf other than \p Chosen to send a copy of a request to, to
   /// detect its recovery, or null.
   LeafChannelPtr chooseProbe(std::string_view Service,
@@ -116,6 +136,8 @@
   std::uint64_t extraSendsDenied() const;
   /// \returns the number of leaves that state a limit on their requests.
   std::size_t limitedLeaves() const;
+  /// \returns how many requests found all leaves of a service at their limits.
+  std::uint64_t limitDenied() const { return this->LimitDenied; }
   std::size_t leaves() const { return this->Channels.size(); }
 
 private:
@@ -133,6 +155,8 @@
   /// \param Ended receives the earlier incarnation if there is one.
   LeafChannelPtr channelFor(const LeafEntry &Entry,
                             std::vector<EndedLeaf> &Ended);
+  /// \returns this process's place among the senders to a leaf.
+  SenderPlace placeAt(std::string_view LeafId) const;
   void addReplica(const LeafChannelPtr &Channel, const RouteTablePtr &Routes,
                   TimePoint Now);
   /// Drops the statistics of routes and services that the configuration no
@@ -152,6 +176,7 @@
   std::map<std::string, RouteLatency, std::less<>> RouteLatencies;
   ServiceRollouts Rollouts;
   SenderGroup Senders;
+  std::uint64_t LimitDenied = 0;
   /// Route table version of the last prune.
   std::uint64_t PrunedVersion = 0;
   std::minstd_rand Random;
--- a/citronlever/src/Gateway/ReplicaCall.cpp
+++ b/citronlever/src/Gateway/ReplicaCall.cpp
@@ -133,8 +133,9 @@
   const LeafChannelPtr Leaf =
       this->Pool.choose(this->criteria(this->TriedLeaves, Side), Now);
   if (!Leaf) {
+    const std::string Why = this->Pool.countUnavailable(this->Service, Now);
     if (this->Reason.empty())
-      this->Reason = "no leaf of " + this->Service + " is available";
+      this->Reason = Why;
     return false;
   }
   this->send(Leaf, Extra, Now);
@@ -289,7 +290,7 @@
                      this->Pool.extraSendVersion(this->Service)),
       Now);
   // If the copy would have to wait as well, it would only lengthen the queues.
-  if (!Other || Other->isFull(Now))
+  if (!Other || Other->isFull(Now) || !Other->rateLimiter().canSendCopy(Now))
     return;
   if (this->Pool.extraSendBudget(this->Service).tryTake(Now, HedgeReserve))
     this->send(Other, true, Now);
--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -251,6 +251,9 @@
   this->CurrentCall = nullptr;
   this->releaseUnfinished();
   this->Timer.cancel();
+  // Before this connection takes the next call.
+  if (!Channel->isMisdirected())
+    Channel->readStatedRate(Result.Response.Headers, Clock::now());
   if (KeepAlive)
     this->keepAlive();
   else
@@ -274,8 +277,6 @@
   auto Message = this->AnswerParser->release();
   if (parseLoad(this->AnswerHeaders.get(Channel->Names.Load), Load))
     Channel->Stats.onLoadReport(Load, Now);
-  if (Message.result_int() != 421)
-    Channel->readStatedRate(this->AnswerHeaders, Now);
   Result.Response.Status = static_cast<int>(Message.result_int());
   Result.Response.Headers = std::move(this->AnswerHeaders);
   Result.Response.Body = std::move(Message.body());
--- a/citronlever/src/Gateway/internal/ServedRequest.h
+++ b/citronlever/src/Gateway/internal/ServedRequest.h
@@ -5,6 +5,7 @@
 #include "citronlever/src/Gateway/internal/EarliestTimer.h"
 #include "citronlever/src/Gateway/internal/RequestDeadlines.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace citronlever {
@@ -39,9 +40,16 @@
     Reply(std::move(Response));
   }
 
+  /// \returns when the caller should come back. Load pattern: leaves that state
+  /// a limit keep it for seconds, so callers are spread over the time that they
+  /// have.
   Duration routeRetryDelay() {
-    return retryDelay(this->Routed.Route->LatencyObjective,
-                      this->Context.random());
+    const RouteSpec &Route = *this->Routed.Route;
+    if (this->isRateLimited())
+      return overloadRetryDelay(Route.LatencyObjective,
+                                this->Routed.CallerTimeout,
+                                this->Context.random());
+    return retryDelay(Route.LatencyObjective, this->Context.random());
   }
 
   GatewayContext &Context;
@@ -50,6 +58,17 @@
   EarliestTimer Timer;
 
 private:
+  /// \returns whether leaves of the route state limits.
+  bool isRateLimited() {
+    const RouteSpec &Route = *this->Routed.Route;
+    const auto IsLimited = [&](const std::string &Service) {
+      return this->Context.Pool.isRateLimited(Service);
+    };
+    return std::ranges::any_of(Route.Shards, IsLimited) ||
+           std::ranges::any_of(Route.Targets, IsLimited,
+                               &WeightedService::Name);
+  }
+
   void stop() {
     this->Answer = nullptr;
     this->Timer.cancel();
--- a/citronlever/src/Registry/FleetMembers.cpp
+++ b/citronlever/src/Registry/FleetMembers.cpp
@@ -7,13 +7,11 @@
 namespace citronlever {
 
 std::string encodeMember(const FleetMember &Member) {
-  const Bytes Encoded = encode(Member);
-  return {reinterpret_cast<const char *>(Encoded.data()), Encoded.size()};
+  return encodeToString(Member);
 }
 
 FleetMember decodeMember(std::string_view Text) {
-  return decode<FleetMember>(
-      ByteView(reinterpret_cast<const std::byte *>(Text.data()), Text.size()));
+  return decodeFromString<FleetMember>(Text);
 }
 
 void FleetMembers::put(FleetMember Member) {
--- a/citronlever/src/Registry/PeerFailureDetector.h
+++ b/citronlever/src/Registry/PeerFailureDetector.h
@@ -41,6 +41,14 @@
       this->Unanswered.try_emplace(Peer, 0);
   }
 
+  /// \returns the probed members.
+  std::vector<Endpoint> peers() const {
+    std::vector<Endpoint> Result;
+    for (const auto &[Peer, Count] : this->Unanswered)
+      Result.push_back(Peer);
+    return Result;
+  }
+
   /// Begins a round of probes.
   /// \param Paused whether this process itself was paused, so that answers may
   /// be waiting in the socket buffer; the round then resets all counts.
--- a/citronlever/src/Registry/PeerProbe.cpp
+++ b/citronlever/src/Registry/PeerProbe.cpp
@@ -5,6 +5,8 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 
+#include <string>
+
 namespace citronlever {
 
 namespace asio = boost::asio;
@@ -14,6 +16,8 @@
 /// A probe round that starts later than scheduled by more than this shows that
 /// this process was paused.
 constexpr Duration PauseThreshold = Milliseconds(150);
+constexpr std::string_view ProbeDatagram = "p";
+constexpr std::string_view AnswerDatagram = "a";
 
 } // namespace
 
@@ -60,21 +64,46 @@
 }
 
 void PeerProbe::handleDatagram(std::size_t Size) {
+  if (Size == 0)
+    return;
+  const std::string_view Datagram(this->Buffer.data(), Size);
+  const auto Kind = static_cast<DatagramKind>(Datagram.front());
+  if (Kind == DatagramKind::Notice) {
+    if (this->OnNotice)
+      this->OnNotice(Datagram.substr(1));
+    return;
+  }
   if (Size != 1)
     return;
-  const auto Kind = static_cast<DatagramKind>(this->Buffer[0]);
   if (Kind == DatagramKind::Probe)
-    this->send(DatagramKind::Answer, this->Sender);
+    this->send(AnswerDatagram, this->Sender);
   else if (Kind == DatagramKind::Answer)
     this->Detector.onAnswer(
         {this->Sender.address().to_string(), this->Sender.port()});
 }
 
-void PeerProbe::send(DatagramKind Kind, const asio::ip::udp::endpoint &To) {
-  const char Byte = static_cast<char>(Kind);
+void PeerProbe::sendNotice(std::string_view Notice) {
+  std::string Datagram(1, static_cast<char>(DatagramKind::Notice));
+  Datagram += Notice;
+  this->sendToPeers(Datagram, this->Detector.peers());
+}
+
+void PeerProbe::sendToPeers(std::string_view Datagram,
+                            const std::vector<Endpoint> &Peers) {
+  for (const Endpoint &Peer : Peers) {
+    boost::system::error_code Failure;
+    const auto Host = asio::ip::make_address(Peer.Host, Failure);
+    if (!Failure)
+      this->send(Datagram, {Host, Peer.Port});
+  }
+}
+
+void PeerProbe::send(std::string_view Datagram,
+                     const asio::ip::udp::endpoint &To) {
   boost::system::error_code Ignored;
   // A failed send is treated like a lost datagram.
-  this->Socket.send_to(asio::buffer(&Byte, 1), To, 0, Ignored);
+  this->Socket.send_to(asio::buffer(Datagram.data(), Datagram.size()), To, 0,
+                       Ignored);
 }
 
 void PeerProbe::scheduleProbe() {
@@ -94,12 +123,7 @@
       Now - this->LastRoundAt >
       PeerFailureDetector::probePeriod(this->MemberCount) + PauseThreshold;
   this->LastRoundAt = Now;
-  for (const Endpoint &Peer : this->Detector.beginRound(Paused)) {
-    boost::system::error_code Failure;
-    const auto Host = asio::ip::make_address(Peer.Host, Failure);
-    if (!Failure)
-      this->send(DatagramKind::Probe, {Host, Peer.Port});
-  }
+  this->sendToPeers(ProbeDatagram, this->Detector.beginRound(Paused));
 }
 
 } // namespace citronlever
--- a/citronlever/src/Registry/RelayedStore.cpp
+++ b/citronlever/src/Registry/RelayedStore.cpp
@@ -38,16 +38,6 @@
 /// Upper bound on the wait that a member may request.
 constexpr long long MaxWaitMs = 30'000;
 
-std::string encodeChanges(const RelayedChanges &Changes) {
-  const Bytes Encoded = encode(Changes);
-  return {reinterpret_cast<const char *>(Encoded.data()), Encoded.size()};
-}
-
-RelayedChanges decodeChanges(const std::string &Text) {
-  return decode<RelayedChanges>(
-      ByteView(reinterpret_cast<const std::byte *>(Text.data()), Text.size()));
-}
-
 long long parseNonNegative(const std::string &Text) {
   long long Value = 0;
   std::from_chars(Text.data(), Text.data() + Text.size(), Value);
@@ -75,7 +65,8 @@
   if (Answer.Outcome != HttpOutcome::Answered || Answer.Response.Status != 200)
     return std::nullopt;
   try {
-    RelayedChanges Changes = decodeChanges(Answer.Response.Body);
+    RelayedChanges Changes =
+        decodeFromString<RelayedChanges>(Answer.Response.Body);
     StoreReadResult Result;
     Result.Status = StoreStatus::Done;
     Result.Items = std::move(Changes.Items);
@@ -220,7 +211,7 @@
           Result.Status = httpStatus(Status);
           Result.Headers.set("Content-Type", "application/octet-stream");
           if (Status == StoreStatus::Done)
-            Result.Body = encodeChanges(Changes);
+            Result.Body = encodeToString(Changes);
           Reply(std::move(Result));
         });
   };
--- a/citronlever/src/Wire/Codec.h
+++ b/citronlever/src/Wire/Codec.h
@@ -11,6 +11,8 @@
 #include <cstddef>
 #include <cstring>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace citronlever {
@@ -143,6 +145,18 @@
   return Result;
 }
 
+/// Serializes \p Message where a string is expected, as in an HTTP body.
+template <class T> std::string encodeToString(const T &Message) {
+  const Bytes Encoded = encode(Message);
+  return {reinterpret_cast<const char *>(Encoded.data()), Encoded.size()};
+}
+
+/// \throws DecodeError if \p Text is not a serialized T.
+template <class T> T decodeFromString(std::string_view Text) {
+  return decode<T>(
+      ByteView(reinterpret_cast<const std::byte *>(Text.data()), Text.size()));
+}
+
 } // namespace citronlever
 
 CEREAL_REGISTER_ARCHIVE(citronlever::BytesOutput)
--- a/test/fuzz/WireTargets.cpp
+++ b/test/fuzz/WireTargets.cpp
@@ -5,6 +5,7 @@
 #include "citronlever/Contracts"
 #include "citronlever/Rollout"
 #include "citronlever/Wire"
+#include "citronlever/src/Gateway/LimitNotice.h"
 #include "citronlever/src/Membership/internal/SwimMessage.h"
 #include "citronlever/src/Node/LeavingVms.h"
 
@@ -134,6 +135,7 @@
 }
 
 void addControl(std::vector<Target> &Into) {
+  add(Into, "limit notices", LimitNotices{{{"leaf-1", 7, true, 1.9, 20}}});
   add(Into, "demand report", DemandReport{{DemandItem{}, DemandItem{}}});
   GrantItem Release;
   Release.Release = ShareHandover{{"a", 1}, 1, {OutstandingGrant{}}};
