--- a/citronlever/src/Registry/StoreMirror.cpp
+++ b/citronlever/src/Registry/StoreMirror.cpp
@@ -1,13 +1,19 @@
 #include "citronlever/src/Registry/StoreMirror.h"
 
+#include "citronlever/src/Core/Event.h"
+
 #include <vector>
 
 namespace citronlever {
 
 void StoreMirror::apply(const StoreItem &Item) {
   const auto Known = this->Items.find(Item.Key);
-  if (Known != this->Items.end() && Known->second.Revision >= Item.Revision)
+  if (Known != this->Items.end() && Known->second.Revision >= Item.Revision) {
+    if (Known->second.Value != Item.Value)
+      logEvent(event::StoreItemOlder, Item.Key, Item.Revision, "known",
+               Known->second.Revision);
     return;
+  }
   const auto Removal = this->RemovalRevisions.find(Item.Key);
   if (Removal != this->RemovalRevisions.end() &&
       Removal->second >= Item.Revision)
