--- a/citronlever/src/Dispatch/RolloutLeader.cpp
+++ b/citronlever/src/Dispatch/RolloutLeader.cpp
@@ -51,6 +51,12 @@
     this->BadReason = Finding;
 }
 
+void RolloutLeader::renumber(const RolloutRequest &Again) {
+  this->Order = Again;
+  if (!this->LastState.Id.empty())
+    this->LastState.Id = Again.id();
+}
+
 void RolloutLeader::onStateRead(const RolloutDocument &State, TimePoint Now) {
   if (State.Id != this->Order.id() ||
       (!this->LastState.Id.empty() && State.Elapsed <= this->LastState.Elapsed))
--- a/citronlever/src/Dispatch/RolloutLeader.h
+++ b/citronlever/src/Dispatch/RolloutLeader.h
@@ -33,6 +33,9 @@
   /// \returns why the version is bad, or an empty string.
   const std::string &badReason() const { return this->BadReason; }
 
+  /// Takes another revision of the same order.
+  void renumber(const RolloutRequest &Again);
+
   /// Takes the rollout's state as read from the store. Other rollouts and older
   /// states are ignored.
   void onStateRead(const RolloutDocument &State, TimePoint Now);
--- a/citronlever/src/Dispatch/ServiceRollout.cpp
+++ b/citronlever/src/Dispatch/ServiceRollout.cpp
@@ -51,6 +51,17 @@
   return true;
 }
 
+void ServiceRollout::renumber(const RolloutRequest &Again) {
+  this->Order = Again;
+  if (this->state())
+    this->State.Id = Again.id();
+}
+
+bool ServiceRollout::isAheadOf(const RolloutDocument &Stored) const {
+  return this->state() && (Stored.Id != this->State.Id ||
+                           progress(Stored) < progress(this->State));
+}
+
 void ServiceRollout::markBad(std::string Reason) {
   if (this->BadReason.empty())
     this->BadReason = std::move(Reason);
--- a/citronlever/src/Dispatch/ServiceRollout.h
+++ b/citronlever/src/Dispatch/ServiceRollout.h
@@ -60,6 +60,13 @@
   /// \returns whether it was applied.
   bool applyState(const RolloutDocument &State);
 
+  /// Takes another revision of the same order.
+  void renumber(const RolloutRequest &Again);
+
+  /// \returns whether the known state is newer than \p Stored or \p Stored is
+  /// of another rollout.
+  bool isAheadOf(const RolloutDocument &Stored) const;
+
   /// \returns the state of the rollout, or null while none is known.
   const RolloutDocument *state() const {
     return this->State.Id.empty() ? nullptr : &this->State;
--- a/citronlever/src/Edge/EdgeNode.cpp
+++ b/citronlever/src/Edge/EdgeNode.cpp
@@ -98,7 +98,8 @@
   this->Probe->listen(this->Settings.PeerEndpoint);
   this->Feed->start({[this] { this->onStoreRead(); },
                      [this] { this->Relay.onStoreUnavailable(); },
-                     [this] { this->onStoreRecovered(); }});
+                     [this] { this->onStoreRecovered(); },
+                     [this] { this->onStoreRestored(); }});
   this->scheduleTick(Clock::now() + TickPeriod);
 }
 
@@ -131,6 +132,11 @@
 }
 
 void EdgeNode::onDomainClosed(std::string_view Domain, bool Closed) {
+  if (!Closed && this->ReadingRestored) {
+    this->HeldReopenings.hold(Domain, true, Clock::now());
+    return;
+  }
+  this->HeldReopenings.cancel(Domain);
   if (Closed)
     this->Bounds.ClosedDomains.emplace(Domain);
   else
@@ -139,14 +145,37 @@
 }
 
 void EdgeNode::onVersionOrdered(RolloutRequest Order) {
-  this->Coordinator.onOrder(std::move(Order), Clock::now());
+  const TimePoint Now = Clock::now();
+  if (this->ReadingRestored && this->Coordinator.contradicts(Order)) {
+    const std::string Service = Order.Service;
+    this->HeldOrders.hold(Service, std::move(Order), Now);
+    return;
+  }
+  this->HeldOrders.cancel(Order.Service);
+  this->Coordinator.onOrder(std::move(Order), Now);
 }
 
 void EdgeNode::onOrderWithdrawn(std::string_view Service) {
+  if (this->ReadingRestored) {
+    this->HeldOrders.hold(Service, std::nullopt, Clock::now());
+    return;
+  }
+  this->HeldOrders.cancel(Service);
   this->Coordinator.onOrderWithdrawn(Service);
 }
 
-void EdgeNode::onMoveWritten(RolloutDocument State, std::uint64_t Revision) {
+void EdgeNode::applyHeld(TimePoint Now) {
+  for (const auto &[Domain, Reopened] : this->HeldReopenings.takeDue(Now))
+    this->onDomainClosed(Domain, !Reopened);
+  for (auto &[Service, Order] : this->HeldOrders.takeDue(Now)) {
+    if (Order)
+      this->onVersionOrdered(std::move(*Order));
+    else
+      this->onOrderWithdrawn(Service);
+  }
+}
+
+void EdgeNode::onMoveWritten(RolloutDocument State, StoreRevision Revision) {
   this->Coordinator.onStateWritten(std::move(State), Revision, Clock::now());
 }
 
@@ -187,6 +216,15 @@
   this->Lease->onStoreRecovered(this->recoverySpread());
 }
 
+void EdgeNode::onStoreRestored() {
+  const TimePoint Now = Clock::now();
+  this->ReadingRestored = true;
+  this->Leaves.onStoreRestored(Now);
+  this->Members.onStoreRecovered(Now);
+  this->Lease->onStoreRestored(this->recoverySpread());
+  this->Coordinator.onStoreRestored(Now);
+}
+
 Duration EdgeNode::recoverySpread() const {
   return RecoverySpreadPerMember *
          static_cast<Duration::rep>(this->Members.servingMembers().size());
@@ -194,6 +232,7 @@
 
 void EdgeNode::onStoreRead() {
   const TimePoint Now = Clock::now();
+  this->ReadingRestored = false;
   this->updateFleet(Now);
   this->Relay.advance(this->Feed->asOf(), Now);
   this->updateRelays();
@@ -303,6 +342,7 @@
       return;
     const TimePoint Now = Clock::now();
     this->LoopLag.record(Due, Now);
+    this->applyHeld(Now);
     this->updateFleet(Now);
     this->Relay.expire(Now);
     this->shareLimits(Now);
--- a/citronlever/src/Edge/EdgeNode.h
+++ b/citronlever/src/Edge/EdgeNode.h
@@ -13,12 +13,14 @@
 #include "citronlever/src/Registry/MemberLease.h"
 #include "citronlever/src/Registry/PeerProbe.h"
 #include "citronlever/src/Registry/RelayedStore.h"
+#include "citronlever/src/Registry/RestoreHold.h"
 #include "citronlever/src/Registry/StoreSynchronizer.h"
 
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -72,7 +74,7 @@
   void onDomainClosed(std::string_view Domain, bool Closed) override;
   void onVersionOrdered(RolloutRequest Order) override;
   void onOrderWithdrawn(std::string_view Service) override;
-  void onMoveWritten(RolloutDocument State, std::uint64_t Revision) override;
+  void onMoveWritten(RolloutDocument State, StoreRevision Revision) override;
   void onMember(FleetMember Member) override;
   void onMemberRemoved(std::string_view Name) override;
 
@@ -83,6 +85,11 @@
   /// Handles the end of an outage of the store: entries that expired in it are
   /// kept until their owners have had time to register again.
   void onStoreRecovered();
+  /// Handles that the store came back from an older copy, which is read now.
+  void onStoreRestored();
+  /// Puts differences of a restored copy in force that have been held long
+  /// enough.
+  void applyHeld(TimePoint Now);
   /// \returns the time within which the members register again if all of them
   /// have to.
   Duration recoverySpread() const;
@@ -153,6 +160,13 @@
   /// Whether the item being read differs from the known one in more than the
   /// figures of a heartbeat, and so has to be relayed.
   bool ItemChanged = false;
+  /// Whether the items being read are of a copy to which the store went back.
+  bool ReadingRestored = false;
+  /// Closed failure domains that a restored copy does not name.
+  RestoreHold<bool> HeldReopenings;
+  /// Orders in a restored copy other than the known ones; none where it lacks
+  /// one.
+  RestoreHold<std::optional<RolloutRequest>> HeldOrders;
   bool LeaseStarted = false;
   TimePoint StartedAt{};
   PlannedStop Stop;
--- a/citronlever/src/Edge/RolloutCoordinator.cpp
+++ b/citronlever/src/Edge/RolloutCoordinator.cpp
@@ -25,6 +25,12 @@
 /// A write that the watch has not shown after this time did not happen, or will
 /// fail its precondition.
 constexpr Duration WriteSettleTime = Seconds(3);
+/// Time after the store went back within which operators write their orders
+/// again.
+constexpr Duration RewriteTime = Seconds(15);
+/// Time after the store went back in which its copy is read and other members
+/// learn of it.
+constexpr Duration SettleAfterRestore = Seconds(1);
 
 } // namespace
 
@@ -43,6 +49,10 @@
   const ServiceRollout *Known = this->Trials.find(Service);
   if (Known && Known->order().Revision == Order.Revision)
     return;
+  if (this->isWrittenAgain(Order, Now)) {
+    this->renumber(Order);
+    return;
+  }
   logEvent(event::RolloutPhaseChanged, Order.id(), "version", Order.Version,
            "ordered, deadline_ms", toMs(Order.Deadline));
   this->Keepers.insert_or_assign(Service, RolloutLeader(Order, Now));
@@ -60,12 +70,56 @@
 }
 
 void RolloutCoordinator::onStateWritten(RolloutDocument State,
-                                        std::uint64_t Revision, TimePoint Now) {
+                                        StoreRevision Revision, TimePoint Now) {
   StoredState &Known = this->States[State.Service];
   if (Revision <= Known.Revision)
     return;
-  Known = {std::move(State), Revision, {}};
+  Known = {std::move(State), Revision, Known.MayBeBehind, {}};
   this->apply(Known.State, Now);
+  const ServiceRollout *Trial = this->Trials.find(Known.State.Service);
+  Known.MayBeBehind &= Trial && Trial->isAheadOf(Known.State);
+}
+
+void RolloutCoordinator::onStoreRestored(TimePoint Now) {
+  this->RestoredUntil = Now + RewriteTime;
+  for (const auto &[Service, Trial] : this->Trials.all())
+    this->States[Service];
+  for (auto &[Service, Known] : this->States) {
+    Known.Revision = {};
+    Known.State = {};
+    Known.MayBeBehind = true;
+    Known.NextWriteAt = Now + SettleAfterRestore;
+  }
+}
+
+bool RolloutCoordinator::contradicts(const RolloutRequest &Order) const {
+  const ServiceRollout *Known = this->Trials.find(Order.Service);
+  return Known && !Known->order().asksForSame(Order);
+}
+
+bool RolloutCoordinator::isWrittenAgain(const RolloutRequest &Order,
+                                        TimePoint Now) const {
+  const ServiceRollout *Known = this->Trials.find(Order.Service);
+  return Known && Known->order().asksForSame(Order) &&
+         (Order.Revision.Era > Known->order().Revision.Era ||
+          Now < this->RestoredUntil);
+}
+
+void RolloutCoordinator::renumber(const RolloutRequest &Order) {
+  this->Trials.find(Order.Service)->renumber(Order);
+  this->Keepers.at(Order.Service).renumber(Order);
+}
+
+bool RolloutCoordinator::isStoreBehind(const ServiceRollout &Trial) const {
+  const auto Known = this->States.find(Trial.order().Service);
+  return Known != this->States.end() && Known->second.MayBeBehind &&
+         Trial.isAheadOf(Known->second.State);
+}
+
+bool RolloutCoordinator::isStoreBehind() const {
+  return std::ranges::any_of(this->Trials.all(), [this](const auto &Item) {
+    return this->isStoreBehind(Item.second);
+  });
 }
 
 void RolloutCoordinator::apply(const RolloutDocument &State, TimePoint Now) {
@@ -75,10 +129,16 @@
   const RolloutPhase Before =
       Trial->state() ? Trial->state()->Phase : RolloutPhase::Canary;
   const bool First = Trial->state() == nullptr;
-  if (!Trial->applyState(State))
+  RolloutDocument Next = State;
+  // The state of this rollout from before the store went back, which is known
+  // from the copy alone.
+  if (First && Trial->order().isFromLaterEra(State.Id) &&
+      State.ToVersion == Trial->order().Version)
+    Next.Id = Trial->order().id();
+  if (!Trial->applyState(Next))
     return;
   Trial->grantEarlyRequests(this->Options.Exposure, this->SenderCount);
-  this->Keepers.at(State.Service).onStateRead(State, Now);
+  this->Keepers.at(State.Service).onStateRead(Next, Now);
   this->LeavesChanged = true;
   if (First || Before != State.Phase)
     logEvent(event::RolloutPhaseChanged, State.Id, "version", State.ToVersion,
@@ -110,7 +170,8 @@
 
 void RolloutCoordinator::tick(TimePoint Now, bool Unreachable) {
   this->StoreUnreachable = Unreachable;
-  if (Now < this->NextTick || this->activeRollouts() == 0)
+  if (Now < this->NextTick ||
+      (this->activeRollouts() == 0 && !this->isStoreBehind()))
     return;
   this->NextTick = Now + RolloutLeader::AnalysisInterval;
   this->evaluateTrials();
@@ -256,10 +317,16 @@
   const StoredState &Known = this->States[Order.Service];
   if (Now < Known.NextWriteAt)
     return;
-  const auto Next =
-      this->Keepers.at(Order.Service)
-          .nextState(Known.State.Id == Order.id() ? &Known.State : nullptr,
-                     this->PreviousVersion(Order), Now);
+  const bool Behind = this->isStoreBehind(Trial);
+  const RolloutDocument *Current = nullptr;
+  if (Behind)
+    Current = Trial.state();
+  else if (Known.State.Id == Order.id())
+    Current = &Known.State;
+  auto Next = this->Keepers.at(Order.Service)
+                  .nextState(Current, this->PreviousVersion(Order), Now);
+  if (!Next && Behind)
+    Next = *Current;
   if (!Next) {
     this->DecisionDueSince.erase(Order.Service);
     return;
--- a/citronlever/src/Edge/RolloutCoordinator.h
+++ b/citronlever/src/Edge/RolloutCoordinator.h
@@ -52,9 +52,17 @@
   void onOrderWithdrawn(std::string_view Service);
   /// Handles the state of a rollout at \p Revision of the store; older
   /// revisions are ignored.
-  void onStateWritten(RolloutDocument State, std::uint64_t Revision,
+  void onStateWritten(RolloutDocument State, StoreRevision Revision,
                       TimePoint Now);
 
+  /// Handles that the store came back from an older copy: the rollouts go on,
+  /// also if their orders are written again, and the leaders write the newest
+  /// known states again.
+  void onStoreRestored(TimePoint Now);
+
+  /// \returns whether \p Order differs from the known order of its service.
+  bool contradicts(const RolloutRequest &Order) const;
+
   /// Sets the members, this one included, in an order that all members share,
   /// and the number of processes that send to leaves.
   void setMembers(std::vector<Endpoint> Members, std::size_t Senders);
@@ -76,7 +84,9 @@
 private:
   struct StoredState {
     RolloutDocument State;
-    std::uint64_t Revision = 0;
+    StoreRevision Revision;
+    /// Whether the store has gone back and may hold less than is known.
+    bool MayBeBehind = false;
     /// The result of a write may still arrive through the watch until then, so
     /// no other write is sent.
     TimePoint NextWriteAt{};
@@ -88,6 +98,14 @@
   };
 
   void apply(const RolloutDocument &State, TimePoint Now);
+  /// \returns whether \p Order is the known one, written again after the store
+  /// went back.
+  bool isWrittenAgain(const RolloutRequest &Order, TimePoint Now) const;
+  /// Gives the rollout of \p Order's service its new revision.
+  void renumber(const RolloutRequest &Order);
+  /// \returns whether the store holds less of a rollout than is known.
+  bool isStoreBehind(const ServiceRollout &Trial) const;
+  bool isStoreBehind() const;
   /// Stops sending to the version if \p Found names a reason.
   void markBad(const CanaryReport &Found);
   void evaluateTrials();
@@ -120,6 +138,8 @@
   std::string LastReport;
   TimePoint LastReportAt{};
   TimePoint NextTick{};
+  /// Until when orders that are written again do not begin new rollouts.
+  TimePoint RestoredUntil{};
   bool StoreUnreachable = false;
   bool LeavesChanged = false;
 };
--- a/citronlever/src/Registry/ChangeRelay.cpp
+++ b/citronlever/src/Registry/ChangeRelay.cpp
@@ -32,8 +32,18 @@
   this->Kept.erase(Change);
 }
 
-void ChangeRelay::advance(std::uint64_t NewAsOf, TimePoint Now) {
-  if (!this->Available && this->AsOf == 0)
+void ChangeRelay::beginEra(StoreRevision FirstAsOf) {
+  this->LastOfKey.clear();
+  this->Kept.clear();
+  this->KeptBytes = 0;
+  this->DroppedUpTo = FirstAsOf;
+  this->AsOf = FirstAsOf;
+}
+
+void ChangeRelay::advance(StoreRevision NewAsOf, TimePoint Now) {
+  if (NewAsOf.Era > this->AsOf.Era)
+    this->beginEra(NewAsOf);
+  if (!this->Available && this->AsOf == StoreRevision{})
     this->DroppedUpTo = std::max(this->DroppedUpTo, NewAsOf);
   this->Available = true;
   this->AsOf = std::max(this->AsOf, NewAsOf);
@@ -49,7 +59,7 @@
     Request.OnAnswer(StoreStatus::Refused, {});
 }
 
-void ChangeRelay::requestChanges(std::uint64_t Revision, Duration Wait,
+void ChangeRelay::requestChanges(StoreRevision Revision, Duration Wait,
                                  TimePoint Now, Callback OnAnswer) {
   PendingRequest Request{Revision, Now + Wait, std::move(OnAnswer)};
   if (!this->Available)
--- a/citronlever/src/Registry/ChangeRelay.h
+++ b/citronlever/src/Registry/ChangeRelay.h
@@ -16,7 +16,7 @@
 struct RelayedChanges {
   std::vector<StoreItem> Items;
   /// Store revision up to which the changes are complete.
-  std::uint64_t AsOf = 0;
+  StoreRevision AsOf;
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Items, this->AsOf);
@@ -41,15 +41,16 @@
   void record(const StoreItem &Item);
 
   /// Marks the recorded changes as complete up to store revision \p AsOf and
-  /// answers the pending requests that have changes.
-  void advance(std::uint64_t AsOf, TimePoint Now);
+  /// answers the pending requests that have changes. Changes of an earlier era
+  /// are dropped.
+  void advance(StoreRevision AsOf, TimePoint Now);
 
   /// Rejects all pending requests: this member cannot reach the store.
   void onStoreUnavailable();
 
   /// Calls \p OnAnswer with the changes after \p Revision as soon as there are
   /// any, and with none after \p Wait.
-  void requestChanges(std::uint64_t Revision, Duration Wait, TimePoint Now,
+  void requestChanges(StoreRevision Revision, Duration Wait, TimePoint Now,
                       Callback OnAnswer);
 
   /// Answers pending requests whose wait has ended.
@@ -60,14 +61,16 @@
 
 private:
   struct PendingRequest {
-    std::uint64_t Revision;
+    StoreRevision Revision;
     TimePoint Deadline;
     Callback OnAnswer;
   };
 
   /// Changes by revision; one transaction can make several.
-  using Changes = std::multimap<std::uint64_t, StoreItem>;
+  using Changes = std::multimap<StoreRevision, StoreItem>;
 
+  /// Drops all changes, which are of an earlier era or are read again.
+  void beginEra(StoreRevision FirstAsOf);
   /// \returns whether \p Request was answered; without changes it is only
   /// answered if \p AllowEmpty.
   bool answer(const PendingRequest &Request, bool AllowEmpty) const;
@@ -82,9 +85,9 @@
   std::size_t KeptBytes = 0;
   std::vector<PendingRequest> PendingRequests;
   /// Changes up to this revision are no longer kept.
-  std::uint64_t DroppedUpTo = 0;
+  StoreRevision DroppedUpTo;
   /// Recorded changes are complete up to this revision.
-  std::uint64_t AsOf = 0;
+  StoreRevision AsOf;
   bool Available = false;
 };
 
--- a/citronlever/src/Registry/DocumentReader.h
+++ b/citronlever/src/Registry/DocumentReader.h
@@ -32,7 +32,7 @@
   virtual void onOrderWithdrawn(std::string_view Service) = 0;
   /// The state of a rollout, as written by this system, changed at store
   /// revision \p Revision.
-  virtual void onMoveWritten(RolloutDocument State, std::uint64_t Revision) = 0;
+  virtual void onMoveWritten(RolloutDocument State, StoreRevision Revision) = 0;
   /// A fleet member registered or updated its registration.
   virtual void onMember(FleetMember Member) = 0;
   /// The registration of member \p Name was removed.
@@ -52,7 +52,7 @@
   /// \returns a write of a rollout's state, for this system and for operators,
   /// conditional on revision \p Expected of the state written before.
   virtual StoreWrite encodeMove(const RolloutDocument &State,
-                                std::uint64_t Expected) const = 0;
+                                StoreRevision Expected) const = 0;
 
   /// \returns the key under which member \p Name registers.
   virtual std::string memberKey(std::string_view Name) const = 0;
--- a/citronlever/src/Registry/KeyValueStore.h
+++ b/citronlever/src/Registry/KeyValueStore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "citronlever/src/Core/StoreRevision.h"
 #include "citronlever/src/Core/Time.h"
 
 #include <cstdint>
@@ -35,7 +36,7 @@
   std::string Key;
   std::string Value;
   /// Store revision of the write or removal.
-  std::uint64_t Revision = 0;
+  StoreRevision Revision;
   bool Removed = false;
 
   template <class Archive> void serialize(Archive &Ar) {
@@ -48,7 +49,7 @@
   StoreStatus Status = StoreStatus::Refused;
   std::vector<StoreItem> Items;
   /// Store revision at which the result was taken.
-  std::uint64_t AsOf = 0;
+  StoreRevision AsOf;
   /// Whether further keys follow the last item of this page.
   bool MorePages = false;
   /// Why the call failed; for logs.
@@ -58,7 +59,7 @@
 /// Result of a write or of a lease operation.
 struct StoreWriteResult {
   StoreStatus Status = StoreStatus::Refused;
-  std::uint64_t Revision = 0;
+  StoreRevision Revision;
   std::uint64_t Lease = 0;
   Duration TimeToLive{};
   std::string Reason;
@@ -70,10 +71,10 @@
   std::string Value;
   /// Lease to which the key is attached; 0 for none.
   std::uint64_t Lease = 0;
-  /// Write only if the key is at ExpectedRevision; 0 there means that the key
-  /// must not exist.
+  /// Write only if the key is at ExpectedRevision; number 0 means that the key
+  /// must not exist. A revision of an earlier era is a conflict.
   bool Conditional = false;
-  std::uint64_t ExpectedRevision = 0;
+  StoreRevision ExpectedRevision;
   bool Remove = false;
   /// A second key that is written atomically with the first; none if empty.
   std::string SecondKey;
@@ -105,8 +106,9 @@
 
   /// Long-polls for changes of keys with \p Prefix that are newer than
   /// \p Revision. Without changes, the call completes with an empty result
-  /// after \p MaxWait.
-  virtual void watch(const std::string &Prefix, std::uint64_t Revision,
+  /// after \p MaxWait. Changes are only complete if the result's AsOf is of the
+  /// era of \p Revision.
+  virtual void watch(const std::string &Prefix, StoreRevision Revision,
                      Duration MaxWait, ReadCallback Callback) = 0;
 
   /// Performs \p Write if its condition holds.
@@ -120,6 +122,9 @@
   /// Ends the lease at once and removes its keys.
   virtual void endLease(std::uint64_t Lease, WriteCallback Callback) = 0;
 
+  /// \returns the highest era that any answer of the store has stated.
+  virtual std::uint64_t latestEra() const = 0;
+
   /// \returns the number of calls made so far.
   virtual StoreCallCounts calls() const = 0;
 };
--- a/citronlever/src/Registry/LeafEntry.h
+++ b/citronlever/src/Registry/LeafEntry.h
@@ -15,6 +15,8 @@
   /// Start time of this incarnation in milliseconds, by the leaf's own wall
   /// clock.
   std::int64_t Incarnation = 0;
+  /// Rises with each write of the entry within an incarnation.
+  std::int64_t Sequence = 0;
   std::string Service;
   Endpoint Address;
   std::string Domain;
--- a/citronlever/src/Registry/LeafRegistry.cpp
+++ b/citronlever/src/Registry/LeafRegistry.cpp
@@ -1,5 +1,7 @@
 #include "citronlever/src/Registry/LeafRegistry.h"
 
+#include "citronlever/src/Core/Event.h"
+
 #include <algorithm>
 
 namespace citronlever {
@@ -13,6 +15,12 @@
 } // namespace
 
 bool LeafRegistry::put(LeafEntry Entry, TimePoint Now) {
+  if (this->isOutdated(Entry)) {
+    logEvent(event::StoreItemOlder, Entry.Id, "sequence", Entry.Sequence);
+    return false;
+  }
+  this->BeforeRestore.erase(Entry.Id);
+  this->Removed.erase(Entry.Id);
   Record &Known = this->Leaves[Entry.Id];
   const LeafEntry &Old = Known.Entry;
   // Members that were sent the removal must be sent the return as well, even if
@@ -55,10 +63,37 @@
       Known.RemoveAt = std::max(Known.RemoveAt, this->RemovalsTrustedFrom);
 }
 
+void LeafRegistry::onStoreRestored(TimePoint Now) {
+  this->onStoreRecovered(Now);
+  for (const auto &[Id, Last] : this->Removed)
+    this->BeforeRestore.insert_or_assign(Id, Last);
+  for (const auto &[Id, Known] : this->Leaves)
+    this->BeforeRestore.insert_or_assign(
+        Id, LastWrite{Known.Entry.Incarnation, Known.Entry.Sequence, false});
+}
+
+bool LeafRegistry::isOutdated(const LeafEntry &Entry) const {
+  const auto Found = this->BeforeRestore.find(Entry.Id);
+  if (Found == this->BeforeRestore.end())
+    return false;
+  const LastWrite &Last = Found->second;
+  if (Entry.Incarnation != Last.Incarnation)
+    return Entry.Incarnation < Last.Incarnation;
+  return Last.Removed ? Entry.Sequence <= Last.Sequence
+                      : Entry.Sequence < Last.Sequence;
+}
+
 bool LeafRegistry::expire(TimePoint Now) {
   const std::size_t Dropped =
       std::erase_if(this->Leaves, [&](const auto &Item) {
-        return Item.second.RemoveAt <= Now;
+        if (Item.second.RemoveAt > Now)
+          return false;
+        if (this->Removed.size() >= MaxRemoved)
+          this->Removed.clear();
+        const LeafEntry &Last = Item.second.Entry;
+        this->Removed.insert_or_assign(
+            Item.first, LastWrite{Last.Incarnation, Last.Sequence, true});
+        return true;
       });
   if (Dropped > 0)
     ++this->Generation;
--- a/citronlever/src/Registry/LeafRegistry.h
+++ b/citronlever/src/Registry/LeafRegistry.h
@@ -32,6 +32,11 @@
   /// Starts the grace period: the registry responds again after an outage.
   void onStoreRecovered(TimePoint Now);
 
+  /// The registry came back from an older copy. Until a leaf writes again, an
+  /// entry older than the last one known of it is ignored, also if the leaf has
+  /// been removed. Leaves that the copy lacks have the grace period.
+  void onStoreRestored(TimePoint Now);
+
   /// Drops leaves whose removal is due at \p Now.
   /// \returns whether any was dropped.
   bool expire(TimePoint Now);
@@ -61,7 +66,25 @@
     TimePoint ColdUntil{};
   };
 
+  /// The last write known of a leaf.
+  struct LastWrite {
+    std::int64_t Incarnation = 0;
+    std::int64_t Sequence = 0;
+    bool Removed = false;
+  };
+
+  /// \returns whether a restored copy holds \p Entry from before the last
+  /// write.
+  bool isOutdated(const LeafEntry &Entry) const;
+
+  /// Bounds the memory for removed leaves; all are dropped when it is reached.
+  static constexpr std::size_t MaxRemoved = 4096;
+
   std::map<std::string, Record, std::less<>> Leaves;
+  /// Last writes of removed leaves.
+  std::map<std::string, LastWrite, std::less<>> Removed;
+  /// Last writes as of the restore, of leaves that have not written since.
+  std::map<std::string, LastWrite, std::less<>> BeforeRestore;
   TimePoint RemovalsTrustedFrom{};
   std::uint64_t Generation = 0;
 };
--- a/citronlever/src/Registry/MemberLease.cpp
+++ b/citronlever/src/Registry/MemberLease.cpp
@@ -44,14 +44,14 @@
                         this->FailedStep);
 }
 
-void MemberLease::onStoreRead(const StoreItem *Seen, std::uint64_t AsOf,
+void MemberLease::onStoreRead(const StoreItem *Seen, StoreRevision AsOf,
                               Duration Spread) {
   if (this->Released ||
       !isRegistrationLost({this->ConfirmedValue, this->ConfirmedRevision}, Seen,
                           AsOf))
     return;
   // Until the next write is confirmed, what is seen says nothing new.
-  this->ConfirmedRevision = 0;
+  this->ConfirmedRevision = {};
   logEvent(event::MemberRegistrationLost, this->Registration.Name);
   const Duration Delay = std::max(Spread, this->RewriteDelay);
   this->RewriteDelay =
@@ -61,14 +61,26 @@
                       &MemberLease::writeRegistration);
 }
 
+void MemberLease::onStoreRestored(Duration Spread) {
+  if (this->Released || this->Lease == 0)
+    return;
+  // Answers to calls under way say nothing about the next lease.
+  ++this->Round;
+  this->Lease = 0;
+  this->ConfirmedRevision = {};
+  this->scheduleAfter(this->randomDelay(Duration::zero(), Spread),
+                      &MemberLease::requestLease);
+}
+
 void MemberLease::requestLease() {
   this->Lease = 0;
-  this->ConfirmedRevision = 0;
+  this->ConfirmedRevision = {};
   this->FailedStep = nullptr;
   this->Store.grantLease(
       this->Settings.TimeToLive,
-      [Self = this->shared_from_this()](const StoreWriteResult &Reply) {
-        if (Self->Released)
+      [Self = this->shared_from_this(),
+       InRound = this->Round](const StoreWriteResult &Reply) {
+        if (Self->Released || Self->Round != InRound)
           return;
         if (Reply.Status != StoreStatus::Done) {
           Self->retryLater(&MemberLease::requestLease);
@@ -87,11 +99,11 @@
   Write.Key = this->Documents.memberKey(this->Registration.Name);
   Write.Value = Value;
   Write.Lease = this->Lease;
-  this->ConfirmedRevision = 0;
+  this->ConfirmedRevision = {};
   this->Store.write(std::move(Write),
-                    [Self = this->shared_from_this(),
+                    [Self = this->shared_from_this(), InRound = this->Round,
                      Value = std::move(Value)](const StoreWriteResult &Reply) {
-                      if (Self->Released)
+                      if (Self->Released || Self->Round != InRound)
                         return;
                       if (Reply.Status == StoreStatus::Done) {
                         Self->ConfirmedValue = Value;
@@ -109,29 +121,30 @@
 
 void MemberLease::renewLease() {
   this->FailedStep = nullptr;
-  this->Store.renewLease(this->Lease, [Self = this->shared_from_this()](
-                                          const StoreWriteResult &Reply) {
-    if (Self->Released)
-      return;
-    if (Reply.Status == StoreStatus::Done) {
-      Self->RetryDelay = Duration::zero();
-      // The registration was lost while the call was under way.
-      if (Self->ConfirmedRevision == 0) {
-        Self->writeRegistration();
-        return;
-      }
-      Self->RewriteDelay = Duration::zero();
-      Self->scheduleAfter(Self->Settings.RenewalPeriod,
-                          &MemberLease::renewLease);
-      return;
-    }
-    if (Reply.Status == StoreStatus::Absent) {
-      logEvent(event::MemberLeaseLost, Self->Registration.Name);
-      Self->requestLease();
-      return;
-    }
-    Self->retryLater(&MemberLease::renewLease);
-  });
+  this->Store.renewLease(
+      this->Lease, [Self = this->shared_from_this(),
+                    InRound = this->Round](const StoreWriteResult &Reply) {
+        if (Self->Released || Self->Round != InRound)
+          return;
+        if (Reply.Status == StoreStatus::Done) {
+          Self->RetryDelay = Duration::zero();
+          // The registration was lost while the call was under way.
+          if (Self->ConfirmedRevision == StoreRevision{}) {
+            Self->writeRegistration();
+            return;
+          }
+          Self->RewriteDelay = Duration::zero();
+          Self->scheduleAfter(Self->Settings.RenewalPeriod,
+                              &MemberLease::renewLease);
+          return;
+        }
+        if (Reply.Status == StoreStatus::Absent) {
+          logEvent(event::MemberLeaseLost, Self->Registration.Name);
+          Self->requestLease();
+          return;
+        }
+        Self->retryLater(&MemberLease::renewLease);
+      });
 }
 
 void MemberLease::announceLeaving() {
--- a/citronlever/src/Registry/MemberLease.h
+++ b/citronlever/src/Registry/MemberLease.h
@@ -40,7 +40,11 @@
   /// no longer holds the registration.
   /// \param Seen the item under the member's key, or null.
   /// \param AsOf store revision of the read or watch.
-  void onStoreRead(const StoreItem *Seen, std::uint64_t AsOf, Duration Spread);
+  void onStoreRead(const StoreItem *Seen, StoreRevision AsOf, Duration Spread);
+
+  /// Requests a new lease and registers again within \p Spread: the store has
+  /// gone back, so another process may be given the id of this one's lease.
+  void onStoreRestored(Duration Spread);
 
   /// Marks the registration as leaving, so that other members no longer direct
   /// callers to this process.
@@ -65,6 +69,8 @@
   boost::asio::steady_timer Timer;
   /// Current lease, or 0 if none is held.
   std::uint64_t Lease = 0;
+  /// Counts how often the store has gone back.
+  std::uint64_t Round = 0;
   std::minstd_rand Random;
   /// Last delay of the backoff; zero while calls succeed.
   Duration RetryDelay{};
@@ -72,7 +78,7 @@
   void (MemberLease::*FailedStep)() = nullptr;
   /// The registration that the store holds according to its last answer.
   std::string ConfirmedValue;
-  std::uint64_t ConfirmedRevision = 0;
+  StoreRevision ConfirmedRevision;
   /// Last delay before a lost registration is written again; zero while none is
   /// lost.
   Duration RewriteDelay{};
--- a/citronlever/src/Registry/RegistrationCheck.h
+++ b/citronlever/src/Registry/RegistrationCheck.h
@@ -9,8 +9,8 @@
 /// A registration that the store has confirmed.
 struct ConfirmedRegistration {
   std::string_view Value;
-  /// Store revision of the write; 0 if none was confirmed.
-  std::uint64_t Revision = 0;
+  /// Store revision of the write; number 0 if none was confirmed.
+  StoreRevision Revision;
 };
 
 /// Load pattern: the store executes a write of an earlier process, or one whose
@@ -21,9 +21,9 @@
 /// \param AsOf store revision of that read or watch.
 /// \returns whether the store no longer holds the registration.
 inline bool isRegistrationLost(const ConfirmedRegistration &Own,
-                               const StoreItem *Seen, std::uint64_t AsOf) {
+                               const StoreItem *Seen, StoreRevision AsOf) {
   const bool SeenBeforeWrite = AsOf < Own.Revision;
-  if (Own.Revision == 0 || SeenBeforeWrite)
+  if (Own.Revision.Number == 0 || SeenBeforeWrite)
     return false;
   return !Seen || Seen->Value != Own.Value;
 }
--- a/citronlever/src/Registry/RelayedStore.cpp
+++ b/citronlever/src/Registry/RelayedStore.cpp
@@ -115,7 +115,7 @@
     }
 }
 
-void RelayedStore::watch(const std::string &Prefix, std::uint64_t Revision,
+void RelayedStore::watch(const std::string &Prefix, StoreRevision Revision,
                          Duration MaxWait, ReadCallback Callback) {
   const TimePoint Now = Clock::now();
   const bool OwnWatchDue = this->StoreDoubtful && Now >= this->OwnWatchFrom;
@@ -160,13 +160,14 @@
 
 void RelayedStore::watchThroughRelay(const Endpoint &Peer,
                                      const std::string &Prefix,
-                                     std::uint64_t Revision, Duration MaxWait,
+                                     StoreRevision Revision, Duration MaxWait,
                                      ReadCallback Callback) {
   auto &Client = this->Clients[Peer];
   if (!Client)
     Client = std::make_shared<HttpClient>(this->Context, Peer);
   HttpRequest Request;
-  Request.Target = "/changes?after=" + std::to_string(Revision) +
+  Request.Target = "/changes?after=" + std::to_string(Revision.Number) +
+                   "&era=" + std::to_string(Revision.Era) +
                    "&wait_ms=" + std::to_string(toMs(MaxRelayWait));
   Client->send(
       std::move(Request), MaxRelayWait + RelayTimeoutMargin,
@@ -202,7 +203,10 @@
     }
     const Duration Wait = Milliseconds(
         std::min(MaxWaitMs, parseNonNegative(Request->query("wait_ms"))));
-    const auto After =
+    StoreRevision After;
+    After.Era =
+        static_cast<std::uint64_t>(parseNonNegative(Request->query("era")));
+    After.Number =
         static_cast<std::uint64_t>(parseNonNegative(Request->query("after")));
     Relay.requestChanges(
         After, Wait, Clock::now(),
--- a/citronlever/src/Registry/RelayedStore.h
+++ b/citronlever/src/Registry/RelayedStore.h
@@ -32,7 +32,7 @@
              ReadCallback Callback) override {
     this->Store.range(Prefix, After, std::move(Callback));
   }
-  void watch(const std::string &Prefix, std::uint64_t Revision,
+  void watch(const std::string &Prefix, StoreRevision Revision,
              Duration MaxWait, ReadCallback Callback) override;
   void write(StoreWrite Write, WriteCallback Callback) override {
     this->Store.write(std::move(Write), std::move(Callback));
@@ -46,6 +46,7 @@
   void endLease(std::uint64_t Lease, WriteCallback Callback) override {
     this->Store.endLease(Lease, std::move(Callback));
   }
+  std::uint64_t latestEra() const override { return this->Store.latestEra(); }
   StoreCallCounts calls() const override { return this->Store.calls(); }
 
 private:
@@ -60,7 +61,7 @@
 
   Relay *findUsableRelay(TimePoint Now);
   void watchThroughRelay(const Endpoint &Peer, const std::string &Prefix,
-                         std::uint64_t Revision, Duration MaxWait,
+                         StoreRevision Revision, Duration MaxWait,
                          ReadCallback Callback);
   void backOff(const Endpoint &Peer, bool Responds, TimePoint Now);
   bool allRelaysRespond() const;
--- a/citronlever/src/Registry/StoreMirror.cpp
+++ b/citronlever/src/Registry/StoreMirror.cpp
@@ -1,19 +1,13 @@
 #include "citronlever/src/Registry/StoreMirror.h"
 
-#include "citronlever/src/Core/Event.h"
-
 #include <vector>
 
 namespace citronlever {
 
 void StoreMirror::apply(const StoreItem &Item) {
   const auto Known = this->Items.find(Item.Key);
-  if (Known != this->Items.end() && Known->second.Revision >= Item.Revision) {
-    if (Known->second.Value != Item.Value)
-      logEvent(event::StoreItemOlder, Item.Key, Item.Revision, "known",
-               Known->second.Revision);
+  if (Known != this->Items.end() && Known->second.Revision >= Item.Revision)
     return;
-  }
   const auto Removal = this->RemovalRevisions.find(Item.Key);
   if (Removal != this->RemovalRevisions.end() &&
       Removal->second >= Item.Revision)
@@ -33,7 +27,7 @@
   }
 }
 
-void StoreMirror::beginRead(const std::string &Prefix, std::uint64_t AsOf) {
+void StoreMirror::beginRead(const std::string &Prefix, StoreRevision AsOf) {
   this->ReadPrefix = Prefix;
   this->ReadAsOf = AsOf;
   this->ReadKeys.clear();
--- a/citronlever/src/Registry/StoreMirror.h
+++ b/citronlever/src/Registry/StoreMirror.h
@@ -26,7 +26,7 @@
 
   /// Begins a read of all keys with \p Prefix. \p AsOf is the store revision of
   /// its first page.
-  void beginRead(const std::string &Prefix, std::uint64_t AsOf);
+  void beginRead(const std::string &Prefix, StoreRevision AsOf);
 
   /// Applies an item of the read in progress.
   void applyReadItem(const StoreItem &Item);
@@ -46,13 +46,13 @@
   std::map<std::string, StoreItem, std::less<>> Items;
   /// Revisions at which keys were removed, so that an older write does not
   /// restore a removed key.
-  std::map<std::string, std::uint64_t, std::less<>> RemovalRevisions;
+  std::map<std::string, StoreRevision, std::less<>> RemovalRevisions;
   /// Bounds the memory for removals; they are all dropped when it is reached.
   static constexpr std::size_t MaxRemovals = 4096;
 
   /// State of the read in progress.
   std::string ReadPrefix;
-  std::uint64_t ReadAsOf = 0;
+  StoreRevision ReadAsOf;
   std::set<std::string, std::less<>> ReadKeys;
 };
 
--- a/citronlever/src/Registry/StoreSynchronizer.cpp
+++ b/citronlever/src/Registry/StoreSynchronizer.cpp
@@ -49,11 +49,19 @@
     this->handleFailure(Page, true);
     return;
   }
-  this->noteResponse(Page.AsOf);
-  if (IsFirst) {
-    this->ReadAsOf = Page.AsOf;
-    this->Mirror.beginRead(this->Settings.Prefix, Page.AsOf);
+  if (!IsFirst && Page.AsOf.Era != this->ReadAsOf.Era) {
+    // The pages before this one are of another copy.
+    this->readAgain();
+    return;
+  }
+  if (Page.AsOf.Era < this->AsOf.Era) {
+    Page.Reason = "answer of an earlier era";
+    this->handleFailure(Page, true);
+    return;
   }
+  this->noteResponse(Page.AsOf);
+  if (IsFirst)
+    this->beginRead(Page);
   for (const StoreItem &Item : Page.Items)
     this->Mirror.applyReadItem(Item);
   if (Page.MorePages && !Page.Items.empty()) {
@@ -67,6 +75,26 @@
   this->watch();
 }
 
+void StoreSynchronizer::beginRead(const StoreReadResult &Page) {
+  if (this->ReadAll && Page.AsOf.Era > this->AsOf.Era) {
+    logEvent(event::StoreRestored, "as_of", Page.AsOf, "known", this->AsOf);
+    this->Owner.OnRestored();
+  }
+  this->ReadAsOf = Page.AsOf;
+  this->Mirror.beginRead(this->Settings.Prefix, Page.AsOf);
+}
+
+bool StoreSynchronizer::isOutdated(const StoreReadResult &Result) const {
+  return std::max(Result.AsOf.Era, this->Store.latestEra()) > this->AsOf.Era;
+}
+
+void StoreSynchronizer::readAgain() {
+  std::uniform_int_distribution<Duration::rep> Delay(
+      0, this->Settings.RereadSpread.count());
+  this->scheduleAfter(Duration(Delay(this->Random)),
+                      [this] { this->readPage({}); });
+}
+
 void StoreSynchronizer::watch() {
   this->Store.watch(
       this->Settings.Prefix, this->AsOf, this->Settings.WatchTimeout,
@@ -77,9 +105,13 @@
 }
 
 void StoreSynchronizer::handleChanges(const StoreReadResult &Changes) {
+  if (this->isOutdated(Changes)) {
+    this->readAgain();
+    return;
+  }
   if (Changes.Status == StoreStatus::HistoryGone) {
     logEvent(event::StoreHistoryDropped, "as_of", this->AsOf);
-    this->readPage({});
+    this->readAgain();
     return;
   }
   if (Changes.Status != StoreStatus::Done) {
@@ -115,7 +147,7 @@
   });
 }
 
-void StoreSynchronizer::noteResponse(std::uint64_t StoreAsOf) {
+void StoreSynchronizer::noteResponse(StoreRevision StoreAsOf) {
   this->RetryDelay = Duration::zero();
   if (!std::exchange(this->StoreUnavailable, false))
     return;
--- a/citronlever/src/Registry/StoreSynchronizer.h
+++ b/citronlever/src/Registry/StoreSynchronizer.h
@@ -22,6 +22,9 @@
   Duration WatchTimeout = Milliseconds(1000);
   /// Pause after each watch, so that several changes are fetched by one call.
   Duration PauseBetweenWatches = Milliseconds(500);
+  /// Maximum delay, chosen at random, before all keys are read again: all
+  /// members learn at once that they have to.
+  Duration RereadSpread = Milliseconds(200);
   /// Bounds of the exponential backoff, with jitter, after a failed call.
   Duration MinRetryDelay = Milliseconds(100);
   Duration MaxRetryDelay = Milliseconds(800);
@@ -29,7 +32,7 @@
 
 /// Keeps a StoreMirror current: reads all keys once, then watches for changes.
 /// Reads all keys again if the store no longer holds the history since the last
-/// watch.
+/// watch, or has gone back to an older copy.
 class StoreSynchronizer
     : public std::enable_shared_from_this<StoreSynchronizer> {
 public:
@@ -45,6 +48,9 @@
     /// A call succeeded after failed ones. Comes before its changes are applied
     /// to the mirror: removals among them may be due to the outage.
     std::function<void()> OnRecovered;
+    /// The store came back from an older copy, which is read now. Comes before
+    /// its items are applied to the mirror, and before OnUpdated.
+    std::function<void()> OnRestored;
   };
 
   /// Starts synchronizing.
@@ -58,7 +64,7 @@
   /// \returns whether all keys have been read at least once.
   bool hasReadAll() const { return this->ReadAll; }
   /// \returns the store revision up to which the mirror is current.
-  std::uint64_t asOf() const { return this->AsOf; }
+  StoreRevision asOf() const { return this->AsOf; }
 
 private:
   void readPage(const std::string &After);
@@ -67,7 +73,13 @@
   void handleChanges(const StoreReadResult &Changes);
   void handleFailure(const StoreReadResult &Result, bool WasReading);
   /// Ends an outage if one is under way.
-  void noteResponse(std::uint64_t StoreAsOf);
+  void noteResponse(StoreRevision StoreAsOf);
+  /// \returns whether the store has begun an era after that of the mirror.
+  bool isOutdated(const StoreReadResult &Result) const;
+  /// Reads all keys again after a random delay.
+  void readAgain();
+  /// Begins a read of all keys with its first page.
+  void beginRead(const StoreReadResult &Page);
   void scheduleAfter(Duration Delay, std::function<void()> Step);
 
   KeyValueStore &Store;
@@ -76,9 +88,9 @@
   boost::asio::steady_timer Timer;
   Callbacks Owner;
   std::minstd_rand Random;
-  std::uint64_t AsOf = 0;
+  StoreRevision AsOf;
   /// Revision of the first page of the read in progress.
-  std::uint64_t ReadAsOf = 0;
+  StoreRevision ReadAsOf;
   Duration RetryDelay{};
   bool ReadAll = false;
   bool StoreUnavailable = false;
--- a/test/Dispatch/ServiceRolloutTest.cpp
+++ b/test/Dispatch/ServiceRolloutTest.cpp
@@ -84,7 +84,7 @@
     return this->Result;
   }
 
-  inline static const RolloutRequest Order{"bench", "v2", Seconds(20), 7};
+  inline static const RolloutRequest Order{"bench", "v2", Seconds(20), {1, 7}};
   static constexpr TimePoint Began{Seconds(1000)};
 
 private:
--- a/test/Gateway/RequestDispatcherTest.cpp
+++ b/test/Gateway/RequestDispatcherTest.cpp
@@ -382,7 +382,7 @@
   Test.Registry.put(Entry, Clock::now());
   Test.routes(forward(RequestKind::Idempotent));
   // No state of this rollout has been written yet.
-  Test.Pool.rollouts().start({"a", "v2", Seconds(20), 1});
+  Test.Pool.rollouts().start({"a", "v2", Seconds(20), {1, 1}});
   Test.Pool.update(Test.Registry, Test.Routes.get(), {}, {1}, Clock::now());
   for (int At = 0; At < 5; ++At)
     DOCTEST_CHECK(body(Test.ask(Fixture::request("/p/x"))) == "old");
--- a/test/Registry/MemberLeaseTest.cpp
+++ b/test/Registry/MemberLeaseTest.cpp
@@ -21,7 +21,7 @@
   void read(const StoreItem & /*Item*/,
             DocumentSink & /*Sink*/) const override {}
   StoreWrite encodeMove(const RolloutDocument & /*State*/,
-                        std::uint64_t /*Expected*/) const override {
+                        StoreRevision /*Expected*/) const override {
     return {};
   }
   std::string memberKey(std::string_view Name) const override {
@@ -43,12 +43,13 @@
     this->Value = encodeMember(Registration);
     this->Lease =
         std::make_shared<MemberLease>(Io, Store, Documents, Registration);
-    this->Feed->start({[this] {
-                         this->Lease->onStoreRead(this->Mirror.find(this->Key),
-                                                  this->Feed->asOf(),
-                                                  Milliseconds(20));
-                       },
-                       [] {}, [] {}});
+    this->Feed->start(
+        {[this] {
+           this->Lease->onStoreRead(this->Mirror.find(this->Key),
+                                    this->Feed->asOf(), Milliseconds(20));
+         },
+         [] {}, [] {},
+         [this] { this->Lease->onStoreRestored(Milliseconds(20)); }});
     this->Lease->start();
   }
   ~Member() {
@@ -113,16 +114,16 @@
 
 DOCTEST_TEST_CASE("a registration counts as lost only by what was seen after "
                   "it was written") {
-  const ConfirmedRegistration Own{"mine", 10};
-  const StoreItem Mine{"k", "mine", 10, false};
-  const StoreItem Other{"k", "other", 12, false};
-  DOCTEST_CHECK(!isRegistrationLost(Own, &Mine, 10));
-  DOCTEST_CHECK(!isRegistrationLost(Own, &Mine, 30));
-  DOCTEST_CHECK(isRegistrationLost(Own, &Other, 12));
-  DOCTEST_CHECK(isRegistrationLost(Own, nullptr, 12));
-  DOCTEST_CHECK(!isRegistrationLost(Own, &Other, 9));
-  DOCTEST_CHECK(!isRegistrationLost(Own, nullptr, 9));
-  DOCTEST_CHECK(!isRegistrationLost({"mine", 0}, &Other, 12));
+  const ConfirmedRegistration Own{"mine", firstEra(10)};
+  const StoreItem Mine{"k", "mine", firstEra(10), false};
+  const StoreItem Other{"k", "other", firstEra(12), false};
+  DOCTEST_CHECK(!isRegistrationLost(Own, &Mine, firstEra(10)));
+  DOCTEST_CHECK(!isRegistrationLost(Own, &Mine, firstEra(30)));
+  DOCTEST_CHECK(isRegistrationLost(Own, &Other, firstEra(12)));
+  DOCTEST_CHECK(isRegistrationLost(Own, nullptr, firstEra(12)));
+  DOCTEST_CHECK(!isRegistrationLost(Own, &Other, firstEra(9)));
+  DOCTEST_CHECK(!isRegistrationLost(Own, nullptr, firstEra(9)));
+  DOCTEST_CHECK(!isRegistrationLost({"mine", {}}, &Other, firstEra(12)));
 }
 
 // Guards against running processes that no directory names any more.
@@ -166,3 +167,24 @@
   Test.Io.run_for(Seconds(3));
   DOCTEST_CHECK(Test.Store.calls().Writes - Before <= 20);
 }
+
+// Guards against two members under one lease: the restored store gives out the
+// ids of leases again.
+DOCTEST_TEST_CASE(
+    "after a restore each member has a lease of its own, also one "
+    "whose lease the copy lacks") {
+  Fixture Test(2);
+  Test.Store.saveCopy();
+  Test.Members.push_back(
+      std::make_unique<Member>(Test.Io, Test.Store, Test.Documents, "n2", 7));
+  DOCTEST_REQUIRE(Test.until([&] { return Test.allRegistered(); }));
+  const std::uint64_t Lost = Test.Store.LastLease;
+  Test.Store.restore();
+  Test.Members.push_back(
+      std::make_unique<Member>(Test.Io, Test.Store, Test.Documents, "n3", 7));
+  DOCTEST_REQUIRE(Test.until([&] { return Test.Store.LastLease >= Lost + 3; }));
+  DOCTEST_REQUIRE(Test.until([&] { return Test.allRegistered(); }));
+  Test.Members.erase(Test.Members.begin() + 3);
+  Test.Io.run_for(Milliseconds(100));
+  DOCTEST_CHECK(Test.allRegistered());
+}
--- a/test/Registry/RelayedStoreTest.cpp
+++ b/test/Registry/RelayedStoreTest.cpp
@@ -35,7 +35,7 @@
   StoreReadResult watch(Duration Wait = Milliseconds(50)) {
     std::optional<StoreReadResult> Received;
     this->Store.watch(
-        "", this->Backend.Revision, Wait,
+        "", this->Backend.asOf(), Wait,
         [&](StoreReadResult Result) { Received = std::move(Result); });
     const TimePoint End = Clock::now() + Seconds(20);
     while (!Received && Clock::now() < End) {
@@ -47,10 +47,11 @@
 };
 
 /// Gives the watcher a change after revision \p Known.
-void recordChange(Watcher &To, std::uint64_t Known) {
+void recordChange(Watcher &To, StoreRevision Known) {
   To.Relay.advance(Known, Clock::now());
-  To.Relay.record({"k", "v", Known + 1, false});
-  To.Relay.advance(Known + 1, Clock::now());
+  const StoreRevision Next{Known.Era, Known.Number + 1};
+  To.Relay.record({"k", "v", Next, false});
+  To.Relay.advance(Next, Clock::now());
 }
 
 FleetMember makeWatcher(std::string Domain, std::uint16_t Port) {
@@ -64,7 +65,7 @@
 
 DOCTEST_TEST_CASE("changes come through a relay, without a call to the store") {
   Fixture Test;
-  recordChange(Test.First, Test.Backend.Revision);
+  recordChange(Test.First, Test.Backend.asOf());
   const StoreReadResult Result = Test.watch();
   DOCTEST_REQUIRE((Result.Status == StoreStatus::Done));
   DOCTEST_CHECK(Result.Items.size() == 1);
@@ -74,7 +75,7 @@
 DOCTEST_TEST_CASE("one relay that does not reach the store: the next one is "
                   "asked") {
   Fixture Test;
-  recordChange(Test.Second, Test.Backend.Revision);
+  recordChange(Test.Second, Test.Backend.asOf());
   DOCTEST_CHECK((Test.watch().Status == StoreStatus::Done));
   DOCTEST_CHECK(Test.Backend.calls().Watches == 0);
 }
--- a/test/Registry/StoreMirrorTest.cpp
+++ b/test/Registry/StoreMirrorTest.cpp
@@ -1,5 +1,7 @@
 #include "citronlever/Registry"
 
+#include "test/standins/FakeKeyStore.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -14,12 +16,12 @@
   StoreMirror Mirror([&](const StoreItem &Item) {
     Notified.push_back(Item.Key + (Item.Removed ? "-" : "=" + Item.Value));
   });
-  Mirror.apply({"k", "new", 7, false});
-  Mirror.apply({"k", "old", 6, false});
-  Mirror.apply({"k", "", 8, true});
-  Mirror.apply({"k", "late", 7, false});
+  Mirror.apply({"k", "new", firstEra(7), false});
+  Mirror.apply({"k", "old", firstEra(6), false});
+  Mirror.apply({"k", "", firstEra(8), true});
+  Mirror.apply({"k", "late", firstEra(7), false});
   DOCTEST_CHECK(Mirror.find("k") == nullptr);
-  Mirror.apply({"k", "again", 9, false});
+  Mirror.apply({"k", "again", firstEra(9), false});
   DOCTEST_CHECK(Notified == std::vector<std::string>{"k=new", "k-", "k=again"});
 }
 
@@ -30,12 +32,12 @@
     if (Item.Removed)
       Removed.push_back(Item.Key);
   });
-  Mirror.apply({"a/1", "x", 3, false});
-  Mirror.apply({"a/2", "x", 4, false});
-  Mirror.apply({"b/1", "x", 5, false});
-  Mirror.beginRead("a/", 9);
-  Mirror.applyReadItem({"a/2", "x", 4, false});
-  Mirror.apply({"a/3", "written meanwhile", 10, false});
+  Mirror.apply({"a/1", "x", firstEra(3), false});
+  Mirror.apply({"a/2", "x", firstEra(4), false});
+  Mirror.apply({"b/1", "x", firstEra(5), false});
+  Mirror.beginRead("a/", firstEra(9));
+  Mirror.applyReadItem({"a/2", "x", firstEra(4), false});
+  Mirror.apply({"a/3", "written meanwhile", firstEra(10), false});
   Mirror.endRead();
   DOCTEST_CHECK(Removed == std::vector<std::string>{"a/1"});
   DOCTEST_CHECK(Mirror.find("a/3") != nullptr);
@@ -51,7 +53,8 @@
     std::map<std::string, StoreItem> Expected;
     for (std::uint64_t Revision = 1; Revision <= 30; ++Revision) {
       StoreItem Item{"k" + std::to_string(Random() % 5),
-                     std::to_string(Revision), Revision, Random() % 4 == 0};
+                     std::to_string(Revision), firstEra(Revision),
+                     Random() % 4 == 0};
       Expected[Item.Key] = Item;
       Changes.push_back(Item);
     }
--- a/test/Registry/StoreSynchronizerTest.cpp
+++ b/test/Registry/StoreSynchronizerTest.cpp
@@ -15,6 +15,7 @@
   int Updates = 0;
   int Recoveries = 0;
   int Outages = 0;
+  int Restores = 0;
   std::size_t ItemsAtRecovery = 0;
   std::shared_ptr<StoreSynchronizer> Synchronizer;
 
@@ -30,7 +31,8 @@
                                [this] {
                                  ++this->Recoveries;
                                  this->ItemsAtRecovery = this->Mirror.size();
-                               }});
+                               },
+                               [this] { ++this->Restores; }});
   }
 
   template <class Predicate> bool runUntil(Predicate Condition) {
@@ -127,7 +129,7 @@
   struct TestDocuments final : DocumentReader {
     void read(const StoreItem &, DocumentSink &) const override {}
     StoreWrite encodeMove(const RolloutDocument & /*State*/,
-                          std::uint64_t /*Expected*/) const override {
+                          StoreRevision /*Expected*/) const override {
       return {};
     }
     std::string memberKey(std::string_view Name) const override {
--- a/test/UsersPlatform/EdgeNodeTest.cpp
+++ b/test/UsersPlatform/EdgeNodeTest.cpp
@@ -129,3 +129,56 @@
   DOCTEST_CHECK_THROWS_AS(Read("{"), SettingsError);
   std::remove(Path.c_str());
 }
+
+// Guards against requests to a failure domain that operators have closed.
+DOCTEST_TEST_CASE("a closed failure domain stays closed when the store comes "
+                  "back from a copy of before, until the operator opens it") {
+  Fixture Test;
+  const auto KnowsLeaf = [&] {
+    return Test.Node.dump().find(R"("id":"i-1")") != std::string::npos;
+  };
+  Test.Backend.put("op/config", std::string(Configuration));
+  Test.Backend.put("servers/i-1",
+                   R"({"service":"s","address":"127.0.0.1:9","zone":"z1",)"
+                   R"("version":"v1","slots":2,"state":"ready",)"
+                   R"("warmupLeftMs":0,"sequence":1,"born":1})");
+  Test.Node.start();
+  DOCTEST_REQUIRE(Test.until(KnowsLeaf));
+  Test.Backend.saveCopy();
+  Test.Backend.put("op/evacuate/z1", "{}");
+  DOCTEST_REQUIRE(Test.until([&] { return !KnowsLeaf(); }));
+  Test.Backend.restore();
+  Test.Io.run_for(Seconds(3));
+  DOCTEST_CHECK_FALSE(KnowsLeaf());
+  Test.Backend.put("op/evacuate/z1", "{}");
+  Test.Io.run_for(Seconds(1));
+  Test.Backend.erase("op/evacuate/z1");
+  DOCTEST_CHECK(Test.until(KnowsLeaf));
+}
+
+DOCTEST_TEST_CASE(
+    "the newest configuration stays in force when the store comes "
+    "back from an older copy, and the next one takes effect") {
+  Fixture Test;
+  const auto Version = [&] {
+    for (const auto &[Name, Value] : Test.Node.metrics())
+      if (Name == "route_version")
+        return Value;
+    return 0.0;
+  };
+  const auto Write = [&](int Number) {
+    Test.Backend.put("op/config", R"({"version":)" + std::to_string(Number) +
+                                      R"(,"routes":[],"services":[]})");
+  };
+  Write(3);
+  Test.Node.start();
+  DOCTEST_REQUIRE(Test.until([&] { return Version() == 3; }));
+  Test.Backend.saveCopy();
+  Write(10);
+  DOCTEST_REQUIRE(Test.until([&] { return Version() == 10; }));
+  Test.Backend.restore();
+  Test.Io.run_for(Seconds(2));
+  DOCTEST_CHECK(Version() == 10);
+  Write(12);
+  DOCTEST_CHECK(Test.until([&] { return Version() == 12; }));
+}
--- a/test/UsersPlatform/HttpKeyStoreTest.cpp
+++ b/test/UsersPlatform/HttpKeyStoreTest.cpp
@@ -60,7 +60,7 @@
 DOCTEST_TEST_CASE("a watch reports writes, removals and a dropped history") {
   Fixture Test;
   Test.Backend.put("k", "1");
-  const std::uint64_t Before = Test.Backend.Revision;
+  const StoreRevision Before = Test.Backend.asOf();
   Test.Backend.put("k", "2");
   Test.Backend.erase("k");
   const StoreReadResult Received = Test.items(
@@ -79,7 +79,7 @@
   const StoreWriteResult Lease =
       Test.reply([&](auto Then) { Test.Store.grantLease(Seconds(3), Then); });
   DOCTEST_CHECK((Lease.TimeToLive == Seconds(3)));
-  const StoreWrite Create{"k", "v", Lease.Lease, true, 0, false, "", ""};
+  const StoreWrite Create{"k", "v", Lease.Lease, true, {}, false, "", ""};
   const auto Write = [&](const StoreWrite &Request) {
     return Test.reply([&](auto Then) { Test.Store.write(Request, Then); })
         .Status;
@@ -94,7 +94,7 @@
   DOCTEST_CHECK((Renew() == StoreStatus::Done));
   Test.Backend.lapse(Lease.Lease);
   DOCTEST_CHECK((Renew() == StoreStatus::Absent));
-  DOCTEST_CHECK((Write({"k2", "v", Lease.Lease, false, 0, false, "", ""}) ==
+  DOCTEST_CHECK((Write({"k2", "v", Lease.Lease, false, {}, false, "", ""}) ==
                  StoreStatus::Absent));
 }
 
@@ -102,7 +102,7 @@
     "a rejected call has no effect; a write without a response has an "
     "unknown effect") {
   Fixture Test;
-  const StoreWrite Write{"k", "v", 0, false, 0, false, "", ""};
+  const StoreWrite Write{"k", "v", 0, false, {}, false, "", ""};
   Test.Server.Refusing = 503;
   DOCTEST_CHECK(
       (Test.reply([&](auto Then) { Test.Store.write(Write, Then); }).Status ==
@@ -128,8 +128,62 @@
   Fixture Test;
   Test.Server.Silent = true;
   const TimePoint Began = Clock::now();
-  const StoreReadResult Received = Test.items(
-      [&](auto Then) { Test.Store.watch("", 1, Milliseconds(300), Then); });
+  const StoreReadResult Received = Test.items([&](auto Then) {
+    Test.Store.watch("", firstEra(1), Milliseconds(300), Then);
+  });
   DOCTEST_CHECK((Received.Status == StoreStatus::Refused));
   DOCTEST_CHECK(Clock::now() - Began < Seconds(3));
 }
+
+DOCTEST_TEST_CASE("revisions are of the era that the store states, which any "
+                  "answer shows") {
+  Fixture Test;
+  Test.Backend.put("k", "1");
+  const auto Read = [&] {
+    return Test.items([&](auto Then) { Test.Store.range("", "", Then); });
+  };
+  const StoreReadResult First = Read();
+  DOCTEST_CHECK(First.AsOf == StoreRevision(1, 11));
+  DOCTEST_REQUIRE(First.Items.size() == 1);
+  DOCTEST_CHECK(First.Items[0].Revision == StoreRevision(1, 11));
+  Test.Backend.saveCopy();
+  Test.Backend.restore();
+  Test.Server.Refusing = 503;
+  DOCTEST_CHECK((Read().Status == StoreStatus::Refused));
+  DOCTEST_CHECK(Test.Store.latestEra() == 2);
+  Test.Server.Refusing = 0;
+  DOCTEST_CHECK(Read().AsOf == StoreRevision(2, 11));
+}
+
+DOCTEST_TEST_CASE("an answer of an earlier era counts as none: reads failed, "
+                  "writes have an unknown effect") {
+  Fixture Test;
+  Test.Backend.Era = 3;
+  const auto Read = [&] {
+    return Test.items([&](auto Then) { Test.Store.range("", "", Then); });
+  };
+  DOCTEST_REQUIRE((Read().Status == StoreStatus::Done));
+  Test.Server.EarlierEra = 2;
+  DOCTEST_CHECK((Read().Status == StoreStatus::Refused));
+  const StoreWrite Write{"k", "v", 0, false, {}, false, "", ""};
+  DOCTEST_CHECK(
+      (Test.reply([&](auto Then) { Test.Store.write(Write, Then); }).Status ==
+       StoreStatus::Unknown));
+  DOCTEST_CHECK(Test.Store.latestEra() == 3);
+}
+
+DOCTEST_TEST_CASE("a write that expects a revision of an earlier era is a "
+                  "conflict, whatever has that number now") {
+  Fixture Test;
+  Test.Backend.put("k", "1");
+  const StoreReadResult Known =
+      Test.items([&](auto Then) { Test.Store.range("", "", Then); });
+  Test.Backend.saveCopy();
+  Test.Backend.restore();
+  Test.items([&](auto Then) { Test.Store.range("", "", Then); });
+  const StoreWrite Write{"k", "2", 0, true, Known.AsOf, false, "", ""};
+  DOCTEST_CHECK(
+      (Test.reply([&](auto Then) { Test.Store.write(Write, Then); }).Status ==
+       StoreStatus::Conflict));
+  DOCTEST_CHECK(Test.Backend.Items.at("k").Value == "1");
+}
--- a/test/UsersPlatform/PlatformDocumentsTest.cpp
+++ b/test/UsersPlatform/PlatformDocumentsTest.cpp
@@ -3,6 +3,8 @@
 #include "citronlever/Core"
 #include "citronlever/Rollout"
 
+#include "test/standins/FakeKeyStore.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -50,9 +52,9 @@
   void onOrderWithdrawn(std::string_view Service) override {
     this->Events.push_back("order " + std::string(Service) + "=");
   }
-  void onMoveWritten(RolloutDocument State, std::uint64_t Revision) override {
+  void onMoveWritten(RolloutDocument State, StoreRevision Revision) override {
     this->Events.push_back("move " + State.Id + " at " +
-                           std::to_string(Revision));
+                           std::to_string(Revision.Number));
   }
   void onMember(FleetMember Member) override {
     this->Events.push_back("member " + Member.Name);
@@ -122,7 +124,7 @@
       R"({"service":1,"address":"10.0.0.1:80"})",
       std::string("\xff\xfe\0", 3)};
   for (const std::string &Value : Malformed)
-    Documents.read({"servers/i-1", Value, 1, false}, Sink);
+    Documents.read({"servers/i-1", Value, firstEra(1), false}, Sink);
   DOCTEST_CHECK(Sink.Events ==
                 std::vector<std::string>(Malformed.size(), "leaf gone i-1"));
 }
@@ -156,9 +158,10 @@
     RecordingSink Sink;
     Logged = 0;
     for (std::uint64_t Beat = 1; Beat < 4; ++Beat) {
-      Documents.read({"servers/odd", Value, 2 * Beat, false}, Sink);
-      Documents.read({"servers/good", leafEntry("ready"), 2 * Beat + 1, false},
-                     Sink);
+      Documents.read({"servers/odd", Value, firstEra(2 * Beat), false}, Sink);
+      Documents.read(
+          {"servers/good", leafEntry("ready"), firstEra(2 * Beat + 1), false},
+          Sink);
     }
     DOCTEST_CHECK(Logged == 1);
     DOCTEST_CHECK(std::ranges::count(Sink.Events, "leaf good") == 3);
@@ -187,26 +190,27 @@
   FleetMember Member;
   Member.Name = "n1";
   const std::string Key = Documents.memberKey("n1");
-  Documents.read({"servers/i-1", leafEntry("ready"), 1, false}, Sink);
-  Documents.read({"servers/i-1", "", 2, true}, Sink);
-  Documents.read({"op/config", std::string(Configuration), 3, false}, Sink);
-  Documents.read({"op/evacuate/z1", "{}", 4, false}, Sink);
-  Documents.read({"op/evacuate/z1", "", 5, true}, Sink);
-  Documents.read({"op/rollout/s1",
-                  R"({"service":"s1","targetVersion":"v2","durationS":12})", 5,
-                  false},
+  Documents.read({"servers/i-1", leafEntry("ready"), firstEra(1), false}, Sink);
+  Documents.read({"servers/i-1", "", firstEra(2), true}, Sink);
+  Documents.read({"op/config", std::string(Configuration), firstEra(3), false},
                  Sink);
-  Documents.read({"op/rollout/s1", "", 6, true}, Sink);
-  Documents.read({"op/rollout/s1", R"({"targetVersion":"v2"})", 7, false},
+  Documents.read({"op/evacuate/z1", "{}", firstEra(4), false}, Sink);
+  Documents.read({"op/evacuate/z1", "", firstEra(5), true}, Sink);
+  Documents.read({"op/rollout/s1",
+                  R"({"service":"s1","targetVersion":"v2","durationS":12})",
+                  firstEra(5), false},
                  Sink);
+  Documents.read({"op/rollout/s1", "", firstEra(6), true}, Sink);
+  Documents.read(
+      {"op/rollout/s1", R"({"targetVersion":"v2"})", firstEra(7), false}, Sink);
   RolloutDocument Move =
       makeRolloutDocument("s1@5", "s1", "v1", "v2", Seconds(30), 0);
-  const StoreWrite Write = Documents.encodeMove(Move, 0);
-  Documents.read({Write.Key, Write.Value, 8, false}, Sink);
-  Documents.read({Key, encodeMember(Member), 6, false}, Sink);
-  Documents.read({Key, "", 7, true}, Sink);
-  Documents.read({"other/key", "x", 8, false}, Sink);
-  Documents.read({"op/config", "broken", 9, false}, Sink);
+  const StoreWrite Write = Documents.encodeMove(Move, {});
+  Documents.read({Write.Key, Write.Value, firstEra(8), false}, Sink);
+  Documents.read({Key, encodeMember(Member), firstEra(6), false}, Sink);
+  Documents.read({Key, "", firstEra(7), true}, Sink);
+  Documents.read({"other/key", "x", firstEra(8), false}, Sink);
+  Documents.read({"op/config", "broken", firstEra(9), false}, Sink);
   DOCTEST_CHECK(Sink.Events == std::vector<std::string>{
                                    "leaf i-1", "leaf gone i-1", "routes 7",
                                    "closed z1", "open z1", "order s1=v2 12000",
@@ -219,10 +223,14 @@
   const platform::PlatformDocuments Documents;
   RolloutDocument Move =
       makeRolloutDocument("s1@5", "s1", "v1", "v2", Seconds(30), 0);
-  const auto Status = [&] { return Documents.encodeMove(Move, 4).SecondValue; };
-  DOCTEST_CHECK(Documents.encodeMove(Move, 4).Conditional);
-  DOCTEST_CHECK(Documents.encodeMove(Move, 4).ExpectedRevision == 4);
-  DOCTEST_CHECK(Documents.encodeMove(Move, 4).SecondKey == "status/rollout/s1");
+  const auto Status = [&] {
+    return Documents.encodeMove(Move, firstEra(4)).SecondValue;
+  };
+  DOCTEST_CHECK(Documents.encodeMove(Move, firstEra(4)).Conditional);
+  DOCTEST_CHECK(Documents.encodeMove(Move, firstEra(4)).ExpectedRevision ==
+                firstEra(4));
+  DOCTEST_CHECK(Documents.encodeMove(Move, firstEra(4)).SecondKey ==
+                "status/rollout/s1");
   DOCTEST_CHECK(Status() == R"({"state":"active","targetVersion":"v2"})");
   Move.Phase = RolloutPhase::Completing;
   DOCTEST_CHECK(Status() == R"({"state":"active","targetVersion":"v2"})");
--- a/test/UsersPlatform/RolloutCoordinatorTest.cpp
+++ b/test/UsersPlatform/RolloutCoordinatorTest.cpp
@@ -249,3 +249,53 @@
       Test.load(Seconds(16), Milliseconds(10), [&] { return Test.ended(); }));
   DOCTEST_CHECK(Test.status().find("completed") != std::string::npos);
 }
+
+// Guards against a rollout that starts again because the store went back.
+DOCTEST_TEST_CASE("a completed rollout stays completed when the store comes "
+                  "back from a copy of before, and operators see it again") {
+  Fixture Test;
+  Test.leaf("new1", "v2", 0);
+  Test.leaf("new2", "v2", 0);
+  Test.order(12);
+  DOCTEST_REQUIRE(Test.load(Seconds(5), Milliseconds(10),
+                            [&] { return !Test.status().empty(); }));
+  Test.Backend.saveCopy();
+  DOCTEST_REQUIRE(
+      Test.load(Seconds(12), Milliseconds(10), [&] { return Test.ended(); }));
+  Test.load(Milliseconds(1500), Milliseconds(10), [] { return false; });
+  const int Old = Test.Answers["v1"];
+  Test.Backend.restore();
+  DOCTEST_REQUIRE(!Test.ended());
+  DOCTEST_CHECK(
+      Test.load(Seconds(8), Milliseconds(10), [&] { return Test.ended(); }));
+  DOCTEST_CHECK(Test.status() ==
+                R"({"state":"completed","targetVersion":"v2"})");
+  // The operator writes what was lost again, also what wasn't.
+  Test.order(12);
+  Test.load(Seconds(3), Milliseconds(10), [] { return false; });
+  DOCTEST_CHECK(Test.ended());
+  DOCTEST_CHECK(Test.Answers["v1"] == Old);
+}
+
+DOCTEST_TEST_CASE("a rollout goes on when the store comes back from a copy "
+                  "without its order, and the order is written again") {
+  Fixture Test;
+  Test.leaf("new1", "v2", 0);
+  Test.leaf("new2", "v2", 0);
+  Test.Backend.saveCopy();
+  const TimePoint Ordered = Clock::now();
+  Test.order(16);
+  DOCTEST_REQUIRE(Test.load(Seconds(5), Milliseconds(10),
+                            [&] { return Test.Answers["v2"] > 0; }));
+  Test.load(Seconds(2), Milliseconds(10), [] { return false; });
+  Test.Backend.restore();
+  const int New = Test.Answers["v2"];
+  Test.load(Seconds(1), Milliseconds(10), [] { return false; });
+  DOCTEST_CHECK(Test.Answers["v2"] > New);
+  Test.Backend.put("other", "x");
+  Test.order(16);
+  DOCTEST_CHECK(Test.load(Ordered + Seconds(16) - Clock::now(),
+                          Milliseconds(10), [&] { return Test.ended(); }));
+  DOCTEST_CHECK(Test.status() ==
+                R"({"state":"completed","targetVersion":"v2"})");
+}
--- a/test/standins/FakeKeyStore.h
+++ b/test/standins/FakeKeyStore.h
@@ -14,6 +14,9 @@
 
 namespace citronlever {
 
+/// \returns a revision of the first era.
+inline StoreRevision firstEra(std::uint64_t Number) { return {1, Number}; }
+
 /// A store in memory whose answers tests can refuse, hold back or lose.
 class FakeKeyStore final : public KeyValueStore {
 public:
@@ -27,7 +30,7 @@
 
   void putAtRevision(const std::string &Key, const std::string &Value,
                      std::uint64_t Lease) {
-    this->Items[Key] = {Key, Value, this->Revision, false};
+    this->Items[Key] = {Key, Value, this->asOf(), false};
     this->Leases[Key] = Lease;
     this->History.push_back(this->Items[Key]);
     this->serveWatches();
@@ -35,7 +38,8 @@
 
   void erase(const std::string &Key) {
     this->Items.erase(Key);
-    this->History.push_back({Key, {}, ++this->Revision, true});
+    ++this->Revision;
+    this->History.push_back({Key, {}, this->asOf(), true});
     this->serveWatches();
   }
 
@@ -45,6 +49,27 @@
     this->Floor = this->Revision;
   }
 
+  /// Keeps a copy to which restore() goes back.
+  void saveCopy() {
+    this->Copy = {this->Items, this->Leases, this->Revision, this->LastLease};
+  }
+
+  /// Comes back from the copy, in the next era.
+  void restore() {
+    ++this->Era;
+    this->Items = this->Copy.Items;
+    for (auto &[Key, Item] : this->Items)
+      Item.Revision.Era = this->Era;
+    this->Leases = this->Copy.Leases;
+    this->Revision = this->Copy.Revision;
+    this->LastLease = this->Copy.LastLease;
+    this->Ended.clear();
+    this->dropHistory();
+    this->cutWatches();
+  }
+
+  StoreRevision asOf() const { return {this->Era, this->Revision}; }
+
   /// Ends a lease and removes its keys.
   void lapse(std::uint64_t Lease) {
     std::vector<std::string> Keys;
@@ -61,7 +86,7 @@
     ++this->Count.Reads;
     StoreReadResult Page;
     Page.Status = this->Down ? StoreStatus::Refused : StoreStatus::Done;
-    Page.AsOf = this->Revision;
+    Page.AsOf = this->asOf();
     for (const auto &[Key, Item] : this->Items) {
       if (this->Down || !Key.starts_with(Prefix) || Key <= After)
         continue;
@@ -74,11 +99,14 @@
     this->post([Then, Page] { Then(Page); });
   }
 
-  void watch(const std::string &Prefix, std::uint64_t After, Duration Wait,
+  void watch(const std::string &Prefix, StoreRevision From, Duration Wait,
              ReadCallback Then) override {
+    // As over the users' protocol, which names the number only.
+    const std::uint64_t After = From.Number;
     ++this->Count.Watches;
     this->LastWait = Wait;
-    if (this->Down || After < this->Floor) {
+    const bool Gone = After < this->Floor || After > this->Revision;
+    if (this->Down || Gone) {
       StoreReadResult Failed;
       Failed.Status =
           this->Down ? StoreStatus::Refused : StoreStatus::HistoryGone;
@@ -110,7 +138,7 @@
              std::ranges::find(this->Ended, Write.Lease) != this->Ended.end())
       Reply.Status = StoreStatus::Absent;
     else if (Write.Conditional &&
-             this->revisionOf(Write.Key) != Write.ExpectedRevision)
+             this->revisionOf(Write.Key) != Write.ExpectedRevision.Number)
       Reply.Status = StoreStatus::Conflict;
     else if (Write.Remove)
       this->erase(Write.Key);
@@ -118,7 +146,7 @@
       this->put(Write.Key, Write.Value, Write.Lease);
     if (Reply.Status == StoreStatus::Done && !Write.SecondKey.empty())
       this->putAtRevision(Write.SecondKey, Write.SecondValue, 0);
-    Reply.Revision = this->Revision;
+    Reply.Revision = this->asOf();
     this->post([Then, Reply] { Then(Reply); });
   }
 
@@ -144,19 +172,29 @@
 
   void endLease(std::uint64_t Lease, WriteCallback Then) override {
     this->lapse(Lease);
-    this->post([Then] { Then({StoreStatus::Done, 0, 0, {}, {}}); });
+    this->post([Then] { Then({StoreStatus::Done, {}, 0, {}, {}}); });
   }
 
+  std::uint64_t latestEra() const override { return this->LearntEra; }
   StoreCallCounts calls() const override { return this->Count; }
 
   std::map<std::string, StoreItem> Items;
   std::uint64_t Revision = 10;
+  std::uint64_t Era = 1;
+  /// The era that answers to other calls than reads have shown.
+  std::uint64_t LearntEra = 0;
   std::uint64_t LastLease = 0;
   std::size_t PageSize = 3;
   Duration LastWait{};
   bool Down = false;
 
 private:
+  struct StoreCopy {
+    std::map<std::string, StoreItem> Items;
+    std::map<std::string, std::uint64_t> Leases;
+    std::uint64_t Revision = 0;
+    std::uint64_t LastLease = 0;
+  };
   struct Watch {
     std::string Prefix;
     std::uint64_t After;
@@ -173,13 +211,13 @@
     this->Watches.erase(Found);
     StoreReadResult Nothing;
     Nothing.Status = this->Down ? StoreStatus::Refused : StoreStatus::Done;
-    Nothing.AsOf = this->Revision;
+    Nothing.AsOf = this->asOf();
     Then(Nothing);
   }
 
   std::uint64_t revisionOf(const std::string &Key) const {
     const auto Found = this->Items.find(Key);
-    return Found == this->Items.end() ? 0 : Found->second.Revision;
+    return Found == this->Items.end() ? 0 : Found->second.Revision.Number;
   }
 
   template <class Function> void post(Function Run) {
@@ -190,13 +228,13 @@
     std::erase_if(this->Watches, [this](const Watch &Waiting) {
       StoreReadResult Changes;
       for (const StoreItem &Item : this->History)
-        if (Item.Revision > Waiting.After &&
+        if (Item.Revision.Number > Waiting.After &&
             Item.Key.starts_with(Waiting.Prefix))
           Changes.Items.push_back(Item);
       if (Changes.Items.empty())
         return false;
       Changes.Status = StoreStatus::Done;
-      Changes.AsOf = this->Revision;
+      Changes.AsOf = this->asOf();
       this->post([Then = Waiting.Then, Changes] { Then(Changes); });
       return true;
     });
@@ -204,6 +242,7 @@
 
   boost::asio::io_context &Io;
   StoreCallCounts Count;
+  StoreCopy Copy;
   std::map<std::string, std::uint64_t> Leases;
   std::vector<std::uint64_t> Ended;
   std::vector<StoreItem> History;
--- a/test/standins/KeyStoreServer.h
+++ b/test/standins/KeyStoreServer.h
@@ -27,14 +27,22 @@
   bool Silent = false;
   /// Answers this status in place of serving; 0: serves.
   int Refusing = 0;
+  /// Stated in place of the store's era, as a late answer does; 0: none.
+  std::uint64_t EarlierEra = 0;
   /// Answers that were asked for while silent.
   std::vector<HttpReply> Held;
 
 private:
+  std::uint64_t statedEra() const {
+    return this->EarlierEra != 0 ? this->EarlierEra : this->Store.Era;
+  }
+
   static void send(const HttpReply &Reply, int Status,
-                   const boost::json::object &Body) {
+                   const boost::json::object &Body, std::uint64_t Era) {
     HttpResponse Result;
     Result.Status = Status;
+    if (Era != 0)
+      Result.Headers.set("Store-Era", std::to_string(Era));
     Result.Body = boost::json::serialize(Body);
     Reply(std::move(Result));
   }
@@ -56,7 +64,7 @@
 
   static boost::json::object item(const StoreItem &From) {
     boost::json::object Result = {{"key", From.Key},
-                                  {"revision", From.Revision}};
+                                  {"revision", From.Revision.Number}};
     if (From.Removed)
       Result["tombstone"] = true;
     else
@@ -64,23 +72,27 @@
     return Result;
   }
 
-  static KeyValueStore::ReadCallback sendItems(const HttpReply &Reply,
-                                               const char *List) {
-    return [Reply, List](const StoreReadResult &Came) {
+  KeyValueStore::ReadCallback sendItems(const HttpReply &Reply,
+                                        const char *List) {
+    return [this, Reply, List](const StoreReadResult &Came) {
       boost::json::array Items;
       for (const StoreItem &One : Came.Items)
         Items.push_back(item(One));
       send(Reply, httpStatus(Came.Status),
-           {{List, Items}, {"asOf", Came.AsOf}, {"morePages", Came.MorePages}});
+           {{List, Items},
+            {"asOf", Came.AsOf.Number},
+            {"morePages", Came.MorePages}},
+           this->statedEra());
     };
   }
 
-  static KeyValueStore::WriteCallback sendReply(const HttpReply &Reply) {
-    return [Reply](const StoreWriteResult &Came) {
+  KeyValueStore::WriteCallback sendReply(const HttpReply &Reply) {
+    return [this, Reply](const StoreWriteResult &Came) {
       send(Reply, httpStatus(Came.Status),
-           {{"revision", Came.Revision},
+           {{"revision", Came.Revision.Number},
             {"lease", Came.Lease},
-            {"ttlMs", toMs(Came.TimeToLive)}});
+            {"ttlMs", toMs(Came.TimeToLive)}},
+           this->statedEra());
     };
   }
 
@@ -90,7 +102,7 @@
       return;
     }
     if (this->Refusing != 0) {
-      send(Reply, this->Refusing, {});
+      send(Reply, this->Refusing, {}, this->statedEra());
       return;
     }
     const std::string Path(Request.path());
@@ -99,7 +111,7 @@
                         sendItems(Reply, "items"));
     else if (Path == "/v1/kv-watch")
       this->Store.watch(Request.query("prefix"),
-                        std::stoull(Request.query("after")),
+                        {this->Store.Era, std::stoull(Request.query("after"))},
                         Milliseconds(std::stoll(Request.query("waitMs"))),
                         sendItems(Reply, "events"));
     else if (Path == "/v1/kv-txn")
@@ -114,7 +126,7 @@
     else if (Path.starts_with("/v1/kv-lease-end/"))
       this->Store.endLease(std::stoull(Path.substr(17)), sendReply(Reply));
     else
-      send(Reply, 404, {});
+      send(Reply, 404, {}, this->statedEra());
   }
 
   static StoreWrite readWrite(const std::string &Body) {
@@ -123,7 +135,7 @@
     const auto &Conditions = Root.at("precondition").as_array();
     if (!Conditions.empty()) {
       Result.Conditional = true;
-      Result.ExpectedRevision =
+      Result.ExpectedRevision.Number =
           Conditions[0].at("revision").to_number<std::uint64_t>();
     }
     const auto &Writes = Root.at("writes").as_array();
