Take an answer with an impossible status as lost

Callers of a leaf that answered with status 000 or 099 waited until their deadline (504), and got 600 to 999 passed on as they were (MIXED).

Cause: a status below 200 was skipped as an interim answer, any other one passed on; the parser accepts three digits whatever they are. RFC 9110, 15 ends at 599. Change: findAnswerFault judges status and length fields together, in the gateway, the leaf client of the own layout and HttpClient. The connection is closed; a request that may be repeated goes to another leaf, others fail at once with 502. 101 counts as impossible too: nothing asks for a change of protocols, and nothing would follow.

Tests: FramingTest, two cases, and one in LeafClientTest.

--- a/citronlever/src/Core/HttpClient.cpp
+++ b/citronlever/src/Core/HttpClient.cpp
@@ -179,7 +179,8 @@
   void onResponse() {
     auto Received = this->Parser->release();
     if (const auto Fault =
-            findFramingFault(headerFields(Received), Received.version())) {
+            findAnswerFault(headerFields(Received), Received.version(),
+                            Received.result_int())) {
       this->finish(HttpOutcome::ReplyLost, std::string(*Fault));
       return;
     }
--- a/citronlever/src/Core/MessageFraming.cpp
+++ b/citronlever/src/Core/MessageFraming.cpp
@@ -57,4 +57,14 @@
   return std::nullopt;
 }
 
+std::optional<std::string_view>
+findAnswerFault(const HttpFields &Headers, unsigned Version, unsigned Status) {
+  constexpr unsigned MinStatus = 100;
+  constexpr unsigned SwitchingProtocols = 101;
+  constexpr unsigned MaxStatus = 599;
+  if (Status < MinStatus || Status > MaxStatus || Status == SwitchingProtocols)
+    return "a status that no answer can have";
+  return findFramingFault(Headers, Version);
+}
+
 } // namespace citronlever
--- a/citronlever/src/Core/MessageFraming.h
+++ b/citronlever/src/Core/MessageFraming.h
@@ -17,4 +17,12 @@
 std::optional<std::string_view> findFramingFault(const HttpFields &Headers,
                                                  unsigned Version);
 
+/// Judges the head of an answer: its length fields, and its status, which must
+/// be one of RFC 9110, 15. There is no answer to what this system never asks
+/// for, a change of protocols. The connection of an answer with a fault must be
+/// closed.
+/// \returns what is wrong, or nothing.
+std::optional<std::string_view>
+findAnswerFault(const HttpFields &Headers, unsigned Version, unsigned Status);
+
 } // namespace citronlever
--- a/citronlever/src/Gateway/internal/ChannelConnection.cpp
+++ b/citronlever/src/Gateway/internal/ChannelConnection.cpp
@@ -214,8 +214,8 @@
   this->AnswerParser->eager(true);
   const auto &Message = this->AnswerParser->get();
   this->AnswerHeaders = headerFields(Message);
-  if (const auto Fault =
-          findFramingFault(this->AnswerHeaders, Message.version()))
+  if (const auto Fault = findAnswerFault(this->AnswerHeaders, Message.version(),
+                                         Message.result_int()))
     this->close(*Fault);
 }
 
--- a/citronlever/src/Upstream/internal/LeafConnection.cpp
+++ b/citronlever/src/Upstream/internal/LeafConnection.cpp
@@ -196,9 +196,10 @@
       });
 }
 
-bool LeafConnection::hasSoundFraming() const {
+bool LeafConnection::hasSoundHead() const {
   const auto &Message = this->Reply->get();
-  return !findFramingFault(headerFields(Message), Message.version());
+  return !findAnswerFault(headerFields(Message), Message.version(),
+                          Message.result_int());
 }
 
 bool LeafConnection::echoesRequest() const {
@@ -240,7 +241,7 @@
   if (this->ReplyReadEarly)
     return;
   const bool Control = this->Call.Target.starts_with("/cancel/");
-  if (!this->hasSoundFraming() || (!Control && !this->echoesRequest()))
+  if (!this->hasSoundHead() || (!Control && !this->echoesRequest()))
     return this->fail(LeafOutcome::Mismatch);
   LeafReply Result = this->parseReply();
   Result.Pooled = this->HasAnswered;
--- a/citronlever/src/Upstream/internal/LeafConnection.h
+++ b/citronlever/src/Upstream/internal/LeafConnection.h
@@ -60,8 +60,8 @@
   /// Closes the connection and ends the pending request.
   void fail(LeafOutcome Outcome);
   LeafReply parseReply() const;
-  /// \returns whether the end of the reply is beyond doubt.
-  bool hasSoundFraming() const;
+  /// \returns whether status and end of the reply are beyond doubt.
+  bool hasSoundHead() const;
   /// \returns whether the reply belongs to the pending request.
   bool echoesRequest() const;
 
--- a/test/Gateway/FramingTest.cpp
+++ b/test/Gateway/FramingTest.cpp
@@ -153,3 +153,52 @@
     }
   }
 }
+
+// Guards against callers that wait until their deadline, or get a status that
+// they cannot understand.
+DOCTEST_TEST_CASE("an answer with an impossible status is lost at once") {
+  for (const char *Status : {"000", "001", "099", "101", "600", "999"}) {
+    DOCTEST_CAPTURE(Status);
+    LeafChannelFixture Test([&](const std::string &Head, RawLeaf::Peer &To) {
+      To.write("HTTP/1.1 " + std::string(Status) +
+               " Odd\r\nX-Id: " + RawLeaf::field(Head, "X-Id") +
+               "\r\nX-Signature: s\r\nContent-Length: 4\r\n\r\nbody");
+    });
+    std::vector<ChannelAnswer> Answers;
+    Test.call("a", Answers);
+    const TimePoint Began = Clock::now();
+    Test.runUntil([&] {
+      return !Answers.empty() || Clock::now() - Began > WellBeforeTimeout;
+    });
+    DOCTEST_REQUIRE(Answers.size() == 1);
+    DOCTEST_CHECK((Answers.front().Outcome == ChannelOutcome::Lost));
+    DOCTEST_CHECK(Test.Channel->connections() == 0);
+  }
+}
+
+DOCTEST_TEST_CASE(
+    "a request that got an impossible status goes to another leaf "
+    "if it may be repeated, and else fails at once") {
+  for (const char *Status : {"000", "099", "600", "999"})
+    for (const RequestKind Kind :
+         {RequestKind::Idempotent, RequestKind::NonIdempotent}) {
+      DOCTEST_CAPTURE(Status);
+      GatewayFixture Test;
+      const auto Odd = [&](const std::string &Head, RawLeaf::Peer &To) {
+        To.write("HTTP/1.1 " + std::string(Status) +
+                 " Odd\r\nX-Id: " + RawLeaf::field(Head, "X-Id") +
+                 "\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n");
+      };
+      const bool Repeats = Kind == RequestKind::Idempotent;
+      RawLeaf &First = Test.leaf("a", Odd);
+      if (Repeats)
+        Test.leaf("a", answers("good"));
+      Test.routes(forward(Kind));
+      while (First.Requests.empty()) {
+        const TimePoint Began = Clock::now();
+        const std::string Response = Test.ask(GatewayFixture::request("/p/x"));
+        DOCTEST_CHECK(status(Response) == (Repeats ? 200 : 502));
+        DOCTEST_CHECK(Clock::now() - Began < WellBeforeTimeout);
+      }
+    }
+}
--- a/test/Upstream/LeafClientTest.cpp
+++ b/test/Upstream/LeafClientTest.cpp
@@ -259,3 +259,18 @@
         (Result.Outcome == (Sound ? LeafOutcome::Ok : LeafOutcome::Mismatch)));
   }
 }
+
+// Guards against statuses that callers cannot understand.
+DOCTEST_TEST_CASE("a reply with an impossible status is rejected") {
+  for (const std::string Status : {"000", "099", "101", "600", "999"}) {
+    DOCTEST_CAPTURE(Status);
+    const RunningRawLeaf Leaf([&](const std::string &Head, RawLeaf::Peer &To) {
+      To.write("HTTP/1.1 " + Status +
+               " Odd\r\nX-Request-Id: " + RawLeaf::field(Head, "X-Request-Id") +
+               "\r\nX-Snapshot: s1\r\nX-Shard: 3\r\n"
+               "Content-Length: 4\r\n\r\nbody");
+    });
+    ClientFixture Fixture;
+    DOCTEST_CHECK((askOnce(Fixture, Leaf).Outcome == LeafOutcome::Mismatch));
+  }
+}
