Hold SIGHUP back while nothing handles it

Cause: the signal's default action before the signal set exists and after it is destroyed. Change: SIGHUP is blocked from main() on, and let through only while the handlers exist.

noded_hangup_test and noded_stop_test pass.

--- a/daemons/noded.cpp
+++ b/daemons/noded.cpp
@@ -30,6 +30,24 @@
   return FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings;
 }
 
+/// Holds SIGHUP back, for this thread and those that it starts, or lets it
+/// through. Without a handler it would end the process.
+void setReloadSignalBlocked(bool Blocked) {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGHUP);
+  pthread_sigmask(Blocked ? SIG_BLOCK : SIG_UNBLOCK, &Signals, nullptr);
+}
+
+/// Lets SIGHUP through while it exists.
+class ReloadSignalScope {
+public:
+  ReloadSignalScope() { setReloadSignalBlocked(false); }
+  ~ReloadSignalScope() { setReloadSignalBlocked(true); }
+  ReloadSignalScope(const ReloadSignalScope &) = delete;
+  ReloadSignalScope &operator=(const ReloadSignalScope &) = delete;
+};
+
 /// Logs each SIGHUP; settings are read only at the start.
 void watchReloadSignal(boost::asio::signal_set &Signals,
                        const EdgeSettings &Settings) {
@@ -57,6 +75,8 @@
   });
   boost::asio::signal_set Reload(Context, SIGHUP);
   watchReloadSignal(Reload, Settings);
+  // Destroyed before the signal sets, with which the handlers end.
+  const ReloadSignalScope Handled;
   Ready.listen(Settings.ReadyEndpoint);
   Directory.listen(Settings.DirectoryEndpoint);
   if (Settings.MetricsEndpoint)
@@ -96,6 +116,7 @@
 
 /// Runs an EdgeNode on the users' platform: one process on each VM.
 int main(int Argc, char **Argv) {
+  citronlever::setReloadSignalBlocked(true);
   std::signal(SIGPIPE, SIG_IGN);
   gflags::SetUsageMessage("--settings FILE");
   gflags::SetVersionString(CITRON_VERSION);
