Begin a stated limit with a second's worth of calls

When leaves of many shards begin to state limits at once, the calls that wait at one are moved to another, which had no token yet: queries would be refused for the first third of a second although the leaves take them. The drawn fleets (StatedRateFleetTest) still keep to the rule; a limit of 0 still gets nothing at once.

test_dispatch and test_gateway pass.

--- a/citronlever/src/Dispatch/StatedRateLimiter.cpp
+++ b/citronlever/src/Dispatch/StatedRateLimiter.cpp
@@ -35,7 +35,7 @@
   if (!this->isLimited())
     return true;
   if (!WasLimited)
-    this->Bucket = TokenBucket(0, 0);
+    this->Bucket = TokenBucket(0, this->ownRate() * BurstTimeSeconds);
   this->configureBucket(Now);
   this->scheduleTurn();
   return true;
--- a/citronlever/src/Dispatch/StatedRateLimiter.h
+++ b/citronlever/src/Dispatch/StatedRateLimiter.h
@@ -80,7 +80,8 @@
   /// The newest statement that the processes have told each other.
   StatedRate Shared;
   SenderPlace Place;
-  /// Empty at first, because what was sent before the statement counts too.
+  /// Begins with a second's worth, because calls that wait are moved when the
+  /// leaf begins to state a limit, often to another one with a limit.
   TokenBucket Bucket{0, 0};
   TimePoint TurnAt{};
 };
