--- a/citronlever/src/Core/StoreRevision.h
+++ b/citronlever/src/Core/StoreRevision.h
@@ -20,7 +20,11 @@
   constexpr StoreRevision(std::uint64_t Era, std::uint64_t Number)
       : Era(Era), Number(Number) {}
 
-  auto operator<=>(const StoreRevision &) const = default;
+  bool operator==(const StoreRevision &) const = default;
+  std::strong_ordering operator<=>(const StoreRevision &Other) const {
+    return this->Era != Other.Era ? this->Era <=> Other.Era
+                                  : this->Number <=> Other.Number;
+  }
 
   template <class Archive> void serialize(Archive &Ar) {
     Ar(this->Era, this->Number);
--- a/citronlever/src/Gateway/LeafPool.cpp
+++ b/citronlever/src/Gateway/LeafPool.cpp
@@ -53,7 +53,7 @@
       Random(std::random_device{}()) {}
 
 void LeafPool::update(const LeafRegistry &Registry, const RouteTablePtr &Routes,
-                      const LeafExclusions &Bounds, SenderGroup SharedBy,
+                      const LeafExclusions &Bounds, const SenderGroup &SharedBy,
                       TimePoint Now) {
   this->Senders = SharedBy;
   for (auto &[Service, Budget] : this->ExtraSendBudgets)
--- a/citronlever/src/Gateway/LeafPool.h
+++ b/citronlever/src/Gateway/LeafPool.h
@@ -69,7 +69,7 @@
   /// calls.
   /// \param SharedBy the processes that share the limits.
   void update(const LeafRegistry &Registry, const RouteTablePtr &Routes,
-              const LeafExclusions &Bounds, SenderGroup SharedBy,
+              const LeafExclusions &Bounds, const SenderGroup &SharedBy,
               TimePoint Now);
 
   /// \returns the leaves of \p Service.
--- a/test/Dispatch/StatedRateLimiterTest.cpp
+++ b/test/Dispatch/StatedRateLimiterTest.cpp
@@ -51,9 +51,9 @@
       {"1.9 a second", std::nullopt},
       {"1e999", std::nullopt},
       {"-0", std::nullopt}};
-  for (const auto &[Text, Expected] : Cases) {
-    DOCTEST_CAPTURE(Text);
-    DOCTEST_CHECK(parseStatedRate(Text) == Expected);
+  for (const auto &Case : Cases) {
+    DOCTEST_CAPTURE(Case.first);
+    DOCTEST_CHECK(parseStatedRate(Case.first) == Case.second);
   }
 }
 
--- a/test/Gateway/StatedLimitTest.cpp
+++ b/test/Gateway/StatedLimitTest.cpp
@@ -89,13 +89,14 @@
       {"x\r\nX-Rate-Limit: 3", 3.0},
       {"-1", 5.0},
       {"nan", 5.0}};
-  for (const auto &[Limit, Expected] : Cases) {
-    DOCTEST_CAPTURE(Limit);
+  for (const auto &Case : Cases) {
+    DOCTEST_CAPTURE(Case.first);
     LeafChannelFixture Test(states("5"));
     DOCTEST_REQUIRE((Test.callOnce("a").Outcome == ChannelOutcome::Answered));
-    Test.Leaf.Serve = states(Limit);
+    Test.Leaf.Serve = states(Case.first);
     DOCTEST_REQUIRE((Test.callOnce("b").Outcome == ChannelOutcome::Answered));
-    DOCTEST_CHECK(Test.Channel->rateLimiter().stated().PerSecond == Expected);
+    DOCTEST_CHECK(Test.Channel->rateLimiter().stated().PerSecond ==
+                  Case.second);
   }
 }
 
